--- a/packages/core/src/fireflyrack/core/__init__.py
+++ b/packages/core/src/fireflyrack/core/__init__.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from .clock import steady_now
 from .errors import (
     FireflyrackError,
     SettingsError,
     SettingsProblem,
     ShardSetError,
 )
+from .latency import LatencyEstimate
 from .logs import LogSettings, configure_logging
 from .machine import Decision, Machine
 from .outcomes import Failed, Ok, Outcome
@@ -21,6 +23,7 @@
     "Decision",
     "Failed",
     "FireflyrackError",
+    "LatencyEstimate",
     "LogSettings",
     "Machine",
     "Ok",
@@ -36,4 +39,5 @@
     "load_settings",
     "parse_settings",
     "rank",
+    "steady_now",
 ]
--- /dev/null
+++ b/packages/discovery/src/fireflyrack/discovery/__init__.py
@@ -0,0 +1,42 @@
+"""What the metadata store lists: backend servers, instances, the configuration."""
+
+from __future__ import annotations
+
+from .entries import EntryChanged, EntryGone, EntryTable
+from .follower import FollowerSettings, PrefixFollower
+from .health import StoreHealth
+from .registration import Registration, RegistrationEntry
+from .servers import BackendServer, EntryInstance, ServerState, Unreadable
+from .store import (
+    Changes,
+    Deletion,
+    Item,
+    Lease,
+    Listing,
+    MetadataStore,
+    StoreError,
+    StoreProblem,
+)
+
+__all__ = [
+    "BackendServer",
+    "Changes",
+    "Deletion",
+    "EntryChanged",
+    "EntryGone",
+    "EntryInstance",
+    "EntryTable",
+    "FollowerSettings",
+    "Item",
+    "Lease",
+    "Listing",
+    "MetadataStore",
+    "PrefixFollower",
+    "Registration",
+    "RegistrationEntry",
+    "ServerState",
+    "StoreError",
+    "StoreHealth",
+    "StoreProblem",
+    "Unreadable",
+]
--- /dev/null
+++ b/packages/discovery/src/fireflyrack/discovery/follower.py
@@ -0,0 +1,190 @@
+"""Follower of the entries of the store below one prefix."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import Any
+
+from fireflyrack.core import Failed, Machine, Ok
+from fireflyrack.telemetry import EventLog
+
+from . import entries
+from .entries import EntryChanged, EntryGone, EntryRetained, EntryTable
+from .health import StoreHealth
+from .log_events import EntryBelief, EntryRejected, HistoryLost, StoreCallFailed
+from .servers import Unreadable
+from .store import Deletion, Item, MetadataStore, StoreProblem
+
+# A waiting watch is renewed after this time, so that a dead connection is noticed.
+WATCH_WAIT_S = 4.0
+# Pause after a failed call; the store's rate is shared by the whole fleet.
+RETRY_PAUSE_S = 0.15
+# Steps in which entries whose wait has ended are looked for.
+TICK_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class FollowerSettings:
+    """Declare what to follow and how often."""
+
+    prefix: str
+    # Changes are gathered this long, because each reply of a watch costs a call.
+    gather_s: float
+
+
+class PrefixFollower:
+    """List and watch a prefix; keep its entries and call listeners on changes.
+
+    `decode` turns an item into a value or Unreadable. Run `follow` as a task and
+    `tick` as another; `table.entries` holds the values by key.
+    """
+
+    def __init__(
+        self,
+        settings: FollowerSettings,
+        store: MetadataStore,
+        decode: Callable[[Item], Any],
+        log: EventLog,
+        health: StoreHealth,
+        now: Callable[[], float],
+    ) -> None:
+        self.settings = settings
+        self.store = store
+        self.decode = decode
+        self.log = log
+        self.health = health
+        self.now = now
+        self.revision: int | None = None
+        # Steady time at which the entries were last known to be current.
+        self.current_at: float | None = None
+        self.on_changed: list[Callable[[EntryChanged], None]] = []
+        self.on_gone: list[Callable[[EntryGone], None]] = []
+        self.machine = Machine(EntryTable(), entries.decide, self.perform)
+        health.listeners.append(self.note_store)
+
+    @property
+    def table(self) -> EntryTable:
+        """Return the entries in use."""
+        return self.machine.state
+
+    def note_store(self, answers: bool) -> None:
+        """Follow whether the store answers."""
+        at = self.now()
+        if answers:
+            self.machine.feed(entries.StoreRegained(at))
+        elif self.health.lost_since is not None:
+            self.machine.feed(entries.StoreLost(at, self.health.lost_since))
+
+    async def follow(self) -> None:
+        """List once and then follow the changes, for ever."""
+        while True:
+            if self.revision is None:
+                advanced = await self.list_all()
+            else:
+                advanced = await self.watch_once()
+            await asyncio.sleep(self.settings.gather_s if advanced else RETRY_PAUSE_S)
+
+    async def tick(self) -> None:
+        """End the wait for missing entries, for ever."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            if self.table.missing:
+                self.machine.feed(entries.TimePassed(self.now()))
+
+    async def list_all(self) -> bool:
+        """Read all entries; return whether that worked."""
+        outcome = await self.store.list(self.settings.prefix)
+        if isinstance(outcome, Failed):
+            self.note_failure("list", outcome.error)
+            # An instance that starts in an outage is better off with old entries
+            # than with none.
+            if self.table.listed_at is None:
+                await self.list_stale()
+            return False
+        self.health.succeeded()
+        listing = outcome.value
+        self.revision = listing.revision
+        self.current_at = self.now()
+        self.take_listing(listing.items)
+        return True
+
+    async def list_stale(self) -> None:
+        """Read entries that may be old while the store refuses current ones."""
+        outcome = await self.store.list(self.settings.prefix, stale=True)
+        if isinstance(outcome, Ok):
+            self.take_listing(outcome.value.items)
+
+    def take_listing(self, items: tuple[Item, ...]) -> None:
+        """Replace the entries by a listing."""
+        decoded = tuple((item.key, self.value_of(item)) for item in items)
+        self.machine.feed(entries.Listed(self.now(), decoded))
+
+    async def watch_once(self) -> bool:
+        """Wait for changes once; return whether the store answered."""
+        prefix = self.settings.prefix
+        outcome = await self.store.watch(prefix, self.revision, WATCH_WAIT_S)
+        if isinstance(outcome, Failed):
+            if outcome.error.problem is StoreProblem.HISTORY_LOST:
+                self.health.succeeded()
+                self.log.record(HistoryLost(prefix, self.revision))
+                self.revision = None
+                return True
+            self.note_failure("watch", outcome.error)
+            return False
+        self.health.succeeded()
+        self.current_at = self.now()
+        for change in outcome.value.changes:
+            self.take_change(change)
+        self.revision = max(self.revision, outcome.value.revision)
+        return True
+
+    def note_failure(self, call: str, error: Any) -> None:
+        """Record a call without result."""
+        self.log.record(StoreCallFailed(call, error.problem.value, error.detail))
+        self.health.failed(f"{call}: {error.problem.value}")
+
+    @singledispatchmethod
+    def take_change(self, change: object) -> None:
+        """Follow one change."""
+        raise TypeError(f"not a change: {type(change).__name__}")
+
+    @take_change.register
+    def _(self, change: Item) -> None:
+        value = self.value_of(change)
+        self.machine.feed(entries.Written(self.now(), change.key, value))
+
+    @take_change.register
+    def _(self, change: Deletion) -> None:
+        self.machine.feed(entries.Deleted(self.now(), change.key))
+
+    def value_of(self, item: Item) -> Any:
+        """Return the decoded value of an item, None if it cannot be read."""
+        value = self.decode(item)
+        if isinstance(value, Unreadable):
+            self.log.record(EntryRejected(item.key, item.revision, value.reason))
+            return None
+        return value
+
+    @singledispatchmethod
+    def perform(self, action: object) -> None:
+        """Tell listeners of a change."""
+        raise TypeError(f"not an action: {type(action).__name__}")
+
+    @perform.register
+    def _(self, action: EntryChanged) -> None:
+        for listener in self.on_changed:
+            listener(action)
+
+    @perform.register
+    def _(self, action: EntryGone) -> None:
+        revision = self.revision or 0
+        self.log.record(EntryBelief(action.key, "gone", revision, action.reason))
+        for listener in self.on_gone:
+            listener(action)
+
+    @perform.register
+    def _(self, action: EntryRetained) -> None:
+        self.log.record(EntryBelief(action.key, "retained", self.revision or 0))
--- /dev/null
+++ b/packages/discovery/src/fireflyrack/discovery/registration.py
@@ -0,0 +1,110 @@
+"""Registration of the own entry in the store under a lease."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from fireflyrack.core import Failed
+from fireflyrack.telemetry import EventLog
+
+from .health import StoreHealth
+from .log_events import EntryBelief, StoreCallFailed
+from .store import MetadataStore, StoreError, StoreProblem
+
+# The register of an instance that is gone ends after this time.
+LEASE_S = 3.0
+# Renewals a lease time; two may be lost.
+RENEW_INTERVAL_S = 0.9
+RETRY_PAUSE_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class RegistrationEntry:
+    """Hold the key and value to register."""
+
+    key: str
+    value: bytes
+
+
+class Registration:
+    """Keep an entry registered; run `keep` as a task and call `withdraw` at the end."""
+
+    def __init__(
+        self,
+        entry: RegistrationEntry,
+        store: MetadataStore,
+        log: EventLog,
+        health: StoreHealth,
+        listed: Callable[[], bool],
+    ) -> None:
+        self.entry = entry
+        self.store = store
+        self.log = log
+        self.health = health
+        # Returns whether the store lists the entry, as far as is known.
+        self.listed = listed
+        self.lease: int | None = None
+        self.withdrawn = False
+
+    async def keep(self) -> None:
+        """Register and renew until withdrawn."""
+        while not self.withdrawn:
+            if self.lease is None:
+                done = await self.register()
+            else:
+                done = await self.renew()
+            await asyncio.sleep(RENEW_INTERVAL_S if done else RETRY_PAUSE_S)
+
+    async def register(self) -> bool:
+        """Write the entry under a new lease; return whether that worked."""
+        granted = await self.store.grant_lease(LEASE_S)
+        if isinstance(granted, Failed):
+            return self.failed("grant lease", granted.error)
+        self.health.succeeded()
+        if self.withdrawn:
+            await self.store.end_lease(granted.value.id)
+            return True
+        written = await self.store.put(
+            self.entry.key, self.entry.value, granted.value.id
+        )
+        if isinstance(written, Failed):
+            # A write without reply may still come; its lease ends by itself and the
+            # next write replaces it.
+            return self.failed("register", written.error)
+        self.lease = granted.value.id
+        self.log.record(EntryBelief(self.entry.key, "registered", written.value))
+        return True
+
+    async def renew(self) -> bool:
+        """Renew the lease; return whether that worked."""
+        outcome = await self.store.renew_lease(self.lease)
+        if isinstance(outcome, Failed):
+            if outcome.error.problem is StoreProblem.ABSENT:
+                self.health.succeeded()
+                self.log.record(EntryBelief(self.entry.key, "lease ended", 0))
+                self.lease = None
+                return False
+            return self.failed("renew lease", outcome.error)
+        self.health.succeeded()
+        if not self.listed():
+            # The entry was deleted although its lease holds.
+            self.lease = None
+            return False
+        return True
+
+    async def withdraw(self) -> None:
+        """Delete the entry."""
+        self.withdrawn = True
+        if self.lease is None:
+            return
+        outcome = await self.store.end_lease(self.lease)
+        if isinstance(outcome, Failed):
+            self.failed("withdraw", outcome.error)
+
+    def failed(self, call: str, error: StoreError) -> bool:
+        """Record a call without result."""
+        self.log.record(StoreCallFailed(call, error.problem.value, error.detail))
+        self.health.failed(f"{call}: {error.problem.value}")
+        return False
--- a/packages/entry/src/fireflyrack/entry/__init__.py
+++ b/packages/entry/src/fireflyrack/entry/__init__.py
@@ -5,13 +5,11 @@
 from .app import create_app
 from .errors import ApiError
 from .instance import EntryInstance
-from .serving import HttpServer
 from .settings import EntrySettings
 
 __all__ = [
     "ApiError",
     "EntryInstance",
     "EntrySettings",
-    "HttpServer",
     "create_app",
 ]
--- a/packages/entry/src/fireflyrack/entry/main.py
+++ b/packages/entry/src/fireflyrack/entry/main.py
@@ -10,10 +10,10 @@
 import logbook
 
 from fireflyrack.core import SettingsError, configure_logging, load_settings
+from fireflyrack.gateway import HttpServer
 
 from .app import create_app
 from .instance import EntryInstance
-from .serving import HttpServer
 from .settings import EntrySettings
 
 EXIT_OK = 0
@@ -61,7 +61,7 @@
     server = HttpServer(
         create_app(instance),
         settings.instance.http_address,
-        settings.membership.drain_s,
+        drain_s=settings.membership.drain_s,
     )
     try:
         server.bind()
--- /dev/null
+++ b/packages/forwarding/src/fireflyrack/forwarding/__init__.py
@@ -0,0 +1,64 @@
+"""Forwarding of requests and searches to backend servers."""
+
+from __future__ import annotations
+
+from .attempts import (
+    Attempt,
+    AttemptOutcome,
+    BackendTransport,
+    Completed,
+    Interrupted,
+    Load,
+    NotConnected,
+    Refusal,
+    Refused,
+    TimedOut,
+)
+from .budget import BudgetLimits, RetryBudget
+from .choice import Chooser, connection_share
+from .health import FleetHealth
+from .metrics import ForwardingMetrics
+from .requests import (
+    Answer,
+    CallerRequest,
+    Cause,
+    Headers,
+    Merged,
+    NoRoute,
+    NotRun,
+    Relayed,
+    Unknown,
+)
+from .runner import Beliefs, RequestRunner
+from .state import Surroundings
+
+__all__ = [
+    "Answer",
+    "Attempt",
+    "AttemptOutcome",
+    "BackendTransport",
+    "Beliefs",
+    "BudgetLimits",
+    "CallerRequest",
+    "Cause",
+    "Chooser",
+    "Completed",
+    "FleetHealth",
+    "ForwardingMetrics",
+    "Headers",
+    "Interrupted",
+    "Load",
+    "Merged",
+    "NoRoute",
+    "NotConnected",
+    "NotRun",
+    "Refusal",
+    "Refused",
+    "Relayed",
+    "RequestRunner",
+    "RetryBudget",
+    "Surroundings",
+    "TimedOut",
+    "Unknown",
+    "connection_share",
+]
--- /dev/null
+++ b/packages/forwarding/src/fireflyrack/forwarding/answers.py
@@ -0,0 +1,69 @@
+"""The final answer of a request from what its shards gave."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+
+from fireflyrack.routing import SearchTarget, ServiceTarget, SplitTarget, Target
+
+from .attempts import Completed
+from .merge import greatest_records
+from .requests import Answer, Cause, Merged, NotRun, Relayed, Unknown
+from .state import RequestState
+
+# Statuses that promise that a request did not run. A backend server that ran it may
+# answer with one of them, which would be untrue from here.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
+def final_answer(state: RequestState, least: int, retry_after_s: float) -> Answer:
+    """Return the answer of a request whose shards are decided."""
+    return answer_for(state.route.target, state, least) or without_result(
+        state, retry_after_s
+    )
+
+
+@singledispatch
+def answer_for(target: Target, state: RequestState, least: int) -> Answer | None:
+    """Return the answer from the results, None if they do not make one."""
+    raise TypeError(f"not a target: {type(target).__name__}")
+
+
+@answer_for.register(ServiceTarget)
+@answer_for.register(SplitTarget)
+def _(
+    target: ServiceTarget | SplitTarget, state: RequestState, least: int
+) -> Answer | None:
+    shard = state.shards[0]
+    response = shard.result or shard.failure
+    if response is None or not truthful(response):
+        return None
+    return Relayed(response.status, response.headers, response.body)
+
+
+@answer_for.register
+def _(target: SearchTarget, state: RequestState, least: int) -> Answer | None:
+    results = [shard.result for shard in state.shards if shard.result is not None]
+    if len(results) < least:
+        return None
+    return Merged(
+        signatures=tuple(result.signature for result in results),
+        missing=len(state.shards) - len(results),
+        body=greatest_records((result.body for result in results), target.limit),
+    )
+
+
+def truthful(response: Completed) -> bool:
+    """Return whether relaying a response says nothing untrue to the caller."""
+    if response.succeeded:
+        return True
+    return response.status >= 300 and response.status not in NOT_RUN_STATUSES
+
+
+def without_result(state: RequestState, retry_after_s: float) -> Answer:
+    """Return the answer of a request that has no result."""
+    causes = [shard.cause for shard in state.shards if shard.cause is not None]
+    cause = causes[0] if causes else Cause.TIMED_OUT
+    if any(shard.may_have_run for shard in state.shards):
+        return Unknown(Cause.COVERAGE if state.search and len(causes) > 1 else cause)
+    return NotRun(cause, retry_after_s)
--- /dev/null
+++ b/packages/forwarding/src/fireflyrack/forwarding/choice.py
@@ -0,0 +1,108 @@
+"""Choice of the backend server of an attempt."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from fireflyrack.discovery import BackendServer, ServerState
+
+from .health import FleetHealth, ServerHealth
+
+# Part of a backend server's connections that the instances share; the rest covers
+# connections that are closing and instances that are not known yet.
+CONNECTION_PART = 0.85
+# A backend server in another failure domain is farther away, and bytes between
+# failure domains cost money.
+DISTANCE_FACTOR = 1.25
+# Cost of a busy slot beside an idle one, before there is a queue.
+BUSY_COST = 0.15
+COLD_FACTOR = 1.6
+STALLED_FACTOR = 3.0
+FULL_FACTOR = 4.0
+# A backend server that always fails costs this many times one that never does.
+FAILING_FACTOR = 12.0
+# Costs closer than this are equal, and chance decides.
+TIE_PART = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Hold a chosen backend server and what decided."""
+
+    server: BackendServer
+    cost: float
+    in_flight: int
+    slowness: float
+    failing: float
+    candidates: int
+
+
+@dataclass(frozen=True, slots=True)
+class Chooser:
+    """Hold what a choice depends on besides the observations."""
+
+    failure_domain: str
+    rng: random.Random
+
+
+def connection_share(max_connections: int, instances: int) -> int:
+    """Return the connections that one instance may hold to a backend server."""
+    return max(1, int(CONNECTION_PART * max_connections / instances))
+
+
+def choose_server(
+    chooser: Chooser,
+    servers: tuple[BackendServer, ...],
+    fleet: FleetHealth,
+    max_connections: int,
+    excluded: frozenset[str],
+    at: float,
+) -> Choice | None:
+    """Return the backend server with the least expected cost, None if there is none."""
+    limit = connection_share(max_connections, fleet.instances)
+    best: Choice | None = None
+    candidates = 0
+    for server in servers:
+        if server.state is not ServerState.READY or server.id in excluded:
+            continue
+        health = fleet.server(server.id)
+        if len(health.outstanding) >= limit:
+            continue
+        candidates += 1
+        cost = expected_cost(server, health, chooser.failure_domain, at)
+        cost *= 1 + TIE_PART * chooser.rng.random()
+        if best is None or cost < best.cost:
+            best = Choice(
+                server,
+                cost,
+                len(health.outstanding),
+                health.slowness_now(at),
+                health.failing_now(at),
+                0,
+            )
+    if best is None:
+        return None
+    return Choice(
+        best.server, best.cost, best.in_flight, best.slowness, best.failing, candidates
+    )
+
+
+def expected_cost(
+    server: BackendServer, health: ServerHealth, failure_domain: str, at: float
+) -> float:
+    """Return the expected latency of one more attempt, 1 for a usual idle server."""
+    slots = max(1, server.slots)
+    load = health.load_now(at)
+    queue = max(0, load + 1 - slots) / slots
+    cost = health.slowness_now(at) * (1 + queue + BUSY_COST * load / slots)
+    cost *= 1 + FAILING_FACTOR * health.failing_now(at)
+    if server.failure_domain != failure_domain:
+        cost *= DISTANCE_FACTOR
+    if at < health.cold_until:
+        cost *= COLD_FACTOR
+    if at < health.full_until:
+        cost *= FULL_FACTOR
+    if health.stalled(at):
+        cost *= STALLED_FACTOR
+    return cost
--- /dev/null
+++ b/packages/forwarding/src/fireflyrack/forwarding/health.py
@@ -0,0 +1,264 @@
+"""What an instance has observed of backend servers, services and routes."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from functools import singledispatch
+
+from fireflyrack.core import LatencyEstimate
+
+from .attempts import (
+    AttemptOutcome,
+    Completed,
+    Interrupted,
+    Load,
+    NotConnected,
+    Refused,
+    TimedOut,
+)
+from .budget import BudgetLimits, RetryBudget
+
+# Weight of the newest latency in a backend server's average.
+LATENCY_WEIGHT = 0.3
+# An average above the usual loses half its excess in this time, so that a backend
+# server that is no longer chosen is tried again.
+SLOWNESS_HALF_LIFE_S = 3.0
+MAX_SLOWNESS = 30.0
+# Weight of one outcome in the share of failures.
+FAILURE_WEIGHT = 0.25
+FAILURE_HALF_LIFE_S = 2.5
+# A backend server that cannot be reached counts like this many failures.
+UNREACHABLE_WEIGHT = 0.8
+# A refusal because of a full queue is remembered this long.
+FULL_MEMORY_S = 0.25
+# A load that a response told is used this long.
+LOAD_MEMORY_S = 0.3
+# Percentiles of the latency of attempts.
+HEDGE_PERCENTILE = 0.9
+HEDGE_FACTOR = 1.2
+MIN_HEDGE_DELAY_S = 0.004
+# Part of the latency objective after which hedges are sent until latencies are known.
+UNKNOWN_HEDGE_PART = 0.4
+# Part of the latency objective that is the usual latency until it is known.
+UNKNOWN_TYPICAL_PART = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Outstanding:
+    """Hold when an attempt was sent and after which time it is late."""
+
+    sent_at: float
+    late_s: float
+
+
+@dataclass(slots=True)
+class ServerHealth:
+    """Hold what was observed of one backend server; updated in place."""
+
+    incarnation: int = 0
+    outstanding: dict[tuple[int, int], Outstanding] = field(default_factory=dict)
+    # Average latency as a multiple of the usual latency of the routes.
+    slowness: float = 1.0
+    slowness_at: float = -math.inf
+    # Moving share of failures.
+    failing: float = 0.0
+    failing_at: float = -math.inf
+    full_until: float = -math.inf
+    # Load told by the last response, and the own attempts in flight at that time.
+    load: Load | None = None
+    load_at: float = -math.inf
+    own_at_load: int = 0
+    cold_until: float = -math.inf
+    answered_at: float = -math.inf
+
+    def start(self, attempt: tuple[int, int], at: float, late_s: float) -> None:
+        """Count an attempt as in flight."""
+        self.outstanding[attempt] = Outstanding(at, late_s)
+
+    def end(self, attempt: tuple[int, int]) -> None:
+        """Count an attempt as ended."""
+        self.outstanding.pop(attempt, None)
+
+    def slowness_now(self, at: float) -> float:
+        """Return the slowness, its excess reduced by its age."""
+        age_s = at - self.slowness_at
+        if self.slowness <= 1 or age_s <= 0:
+            return self.slowness
+        return 1 + (self.slowness - 1) * 0.5 ** (age_s / SLOWNESS_HALF_LIFE_S)
+
+    def failing_now(self, at: float) -> float:
+        """Return the share of failures, reduced by its age."""
+        if not self.failing:
+            return 0.0
+        return self.failing * 0.5 ** ((at - self.failing_at) / FAILURE_HALF_LIFE_S)
+
+    def load_now(self, at: float) -> int:
+        """Return the requests that are believed to run or wait there."""
+        own = len(self.outstanding)
+        if self.load is None or at > self.load_at + LOAD_MEMORY_S:
+            return own
+        told = self.load.running + self.load.waiting
+        return own + max(0, told - self.own_at_load)
+
+    def stalled(self, at: float) -> bool:
+        """Return whether the oldest attempt is late and nothing came since."""
+        if not self.outstanding:
+            return False
+        oldest = next(iter(self.outstanding.values()))
+        late = at - oldest.sent_at > oldest.late_s
+        return late and self.answered_at < at - oldest.late_s
+
+    def note_slowness(self, slowness: float, at: float) -> None:
+        """Add one latency as a multiple of the usual one."""
+        believed = self.slowness_now(at)
+        self.slowness = believed + LATENCY_WEIGHT * (
+            min(slowness, MAX_SLOWNESS) - believed
+        )
+        self.slowness_at = at
+
+    def note_outcome(self, failed: bool, at: float, weight: float) -> None:
+        """Add one success or failure to the share of failures."""
+        believed = self.failing_now(at)
+        self.failing = believed + weight * (failed - believed)
+        self.failing_at = at
+
+
+@dataclass(slots=True)
+class RouteHealth:
+    """Hold the latencies of the attempts of one route."""
+
+    objective_s: float
+    estimate: LatencyEstimate = field(
+        default_factory=lambda: LatencyEstimate(HEDGE_PERCENTILE)
+    )
+
+    @property
+    def typical_s(self) -> float:
+        """Return the usual latency of an attempt in seconds."""
+        return self.estimate.median or UNKNOWN_TYPICAL_PART * self.objective_s
+
+    @property
+    def hedge_delay_s(self) -> float:
+        """Return after which time an attempt is hedged, in seconds."""
+        high = self.estimate.high
+        if high is None:
+            return UNKNOWN_HEDGE_PART * self.objective_s
+        return max(MIN_HEDGE_DELAY_S, HEDGE_FACTOR * high)
+
+
+class FleetHealth:
+    """Hold everything observed; one for each instance."""
+
+    def __init__(self, limits: BudgetLimits) -> None:
+        self.limits = limits
+        self.instances = 1
+        self.servers: dict[str, ServerHealth] = {}
+        self.routes: dict[str, RouteHealth] = {}
+        self.budgets: dict[str, RetryBudget] = {}
+
+    def server(self, server_id: str) -> ServerHealth:
+        """Return what was observed of a backend server."""
+        health = self.servers.get(server_id)
+        if health is None:
+            health = self.servers[server_id] = ServerHealth()
+        return health
+
+    def route(self, name: str, objective_s: float) -> RouteHealth:
+        """Return what was observed of a route."""
+        health = self.routes.get(name)
+        if health is None:
+            health = self.routes[name] = RouteHealth(objective_s)
+        return health
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the budget of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(self.limits, self.instances)
+            self.budgets[service] = budget
+        return budget
+
+    def share_among(self, instances: int) -> None:
+        """Follow a change of the number of instances."""
+        self.instances = instances
+        for budget in self.budgets.values():
+            budget.share_among(instances)
+
+    def note_start(self, server_id: str, incarnation: int, cold_until: float) -> None:
+        """Forget what was observed of an earlier start of a backend server."""
+        health = self.server(server_id)
+        if health.incarnation != incarnation:
+            outstanding = health.outstanding
+            health = self.servers[server_id] = ServerHealth(incarnation, outstanding)
+        health.cold_until = cold_until
+
+    def forget_server(self, server_id: str) -> None:
+        """Forget a backend server that is gone."""
+        self.servers.pop(server_id, None)
+
+
+@dataclass(frozen=True, slots=True)
+class Observation:
+    """Hold what an ended attempt tells of its backend server."""
+
+    at: float
+    latency_s: float
+    typical_s: float
+
+
+@singledispatch
+def observe(
+    outcome: AttemptOutcome, server: ServerHealth, observation: Observation
+) -> None:
+    """Update what is known of a backend server by the outcome of an attempt."""
+    raise TypeError(f"not an outcome: {type(outcome).__name__}")
+
+
+@observe.register
+def _(outcome: Completed, server: ServerHealth, observation: Observation) -> None:
+    at = observation.at
+    server.answered_at = at
+    note_load(server, outcome.load, at)
+    server.note_outcome(not outcome.succeeded, at, FAILURE_WEIGHT)
+    if outcome.succeeded:
+        server.note_slowness(observation.latency_s / observation.typical_s, at)
+
+
+@observe.register
+def _(outcome: Refused, server: ServerHealth, observation: Observation) -> None:
+    server.answered_at = observation.at
+    note_load(server, outcome.load, observation.at)
+    server.full_until = observation.at + FULL_MEMORY_S
+    server.note_outcome(True, observation.at, FAILURE_WEIGHT / 2)
+
+
+@observe.register
+def _(outcome: NotConnected, server: ServerHealth, observation: Observation) -> None:
+    server.note_outcome(True, observation.at, UNREACHABLE_WEIGHT)
+
+
+@observe.register
+def _(outcome: Interrupted, server: ServerHealth, observation: Observation) -> None:
+    server.note_outcome(True, observation.at, FAILURE_WEIGHT)
+
+
+@observe.register
+def _(outcome: TimedOut, server: ServerHealth, observation: Observation) -> None:
+    server.note_outcome(True, observation.at, FAILURE_WEIGHT)
+    note_abandoned(server, observation)
+
+
+def note_abandoned(server: ServerHealth, observation: Observation) -> None:
+    """Take the time waited in vain as a lower bound of the latency."""
+    slowness = observation.latency_s / observation.typical_s
+    if slowness > server.slowness_now(observation.at):
+        server.note_slowness(slowness, observation.at)
+
+
+def note_load(server: ServerHealth, load: Load | None, at: float) -> None:
+    """Keep the load that a response told."""
+    if load is not None:
+        server.load = load
+        server.load_at = at
+        server.own_at_load = len(server.outstanding) + 1
--- /dev/null
+++ b/packages/gateway/src/fireflyrack/gateway/instance.py
@@ -0,0 +1,280 @@
+"""Gateway: the slices of one entry instance that forwards requests."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry
+
+from fireflyrack.core import steady_now
+from fireflyrack.discovery import (
+    EntryChanged,
+    EntryGone,
+    EntryInstance,
+    FollowerSettings,
+    PrefixFollower,
+    Registration,
+    RegistrationEntry,
+    StoreHealth,
+)
+from fireflyrack.forwarding import (
+    Beliefs,
+    BudgetLimits,
+    Chooser,
+    FleetHealth,
+    ForwardingMetrics,
+    RequestRunner,
+    Surroundings,
+)
+from fireflyrack.routing import Adopted, RoutingInForce, RoutingTable
+from fireflyrack.telemetry import EventLog
+
+from .directory import Addresses, addresses_for
+from .instances import (
+    INSTANCES_PREFIX,
+    decode_instance,
+    encode_instance,
+    instance_key,
+)
+from .log_events import (
+    InstancesChanged,
+    ReadinessChanged,
+    RoutingAdopted,
+    RoutingIgnored,
+    ServerChanged,
+    TimeSkipped,
+)
+from .ports import Ports
+from .registers import ServersByService
+from .settings import GatewaySettings
+
+# Heartbeats of all backend servers change the registers; each reply costs a call.
+SERVERS_GATHER_S = 0.3
+CONFIGURATION_GATHER_S = 0.02
+INSTANCES_GATHER_S = 0.1
+# Instances that are assumed to share the limits before the store listed them.
+UNKNOWN_INSTANCES = 8
+PAUSE_CHECK_S = 0.25
+# The loop is late by less than this on a busy machine.
+PAUSE_S = 1.0
+
+
+class Gateway:
+    """Connect the slices; create it inside a running loop, `start`, then `stop`."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        ports: Ports,
+        log: EventLog,
+        now: Callable[[], float] = steady_now,
+    ) -> None:
+        self.settings = settings
+        self.log = log
+        self.now = now
+        self.own = EntryInstance(
+            settings.id,
+            secrets.token_hex(8),
+            settings.failure_domain,
+            settings.caller_address,
+        )
+        self.registry = CollectorRegistry()
+        self.metrics = ForwardingMetrics(self.registry)
+        self.fleet = FleetHealth(
+            BudgetLimits(settings.retry_ratio, settings.retry_burst)
+        )
+        self.fleet.share_among(UNKNOWN_INSTANCES)
+        self.routing = RoutingInForce()
+        self.routing_at = 0.0
+        self.servers = ServersByService()
+        self.store_health = StoreHealth(log, now)
+        self.withdrawn = False
+        self.was_ready = False
+
+        def follower(prefix, gather_s, decode) -> PrefixFollower:
+            follow = FollowerSettings(prefix, gather_s)
+            return PrefixFollower(
+                follow, ports.store, decode, log, self.store_health, now
+            )
+
+        self.configurations = follower(
+            ports.configuration_prefix,
+            CONFIGURATION_GATHER_S,
+            ports.decode_configuration,
+        )
+        self.configurations.on_changed.append(self.take_configuration)
+        self.registers = follower(
+            ports.servers_prefix, SERVERS_GATHER_S, ports.decode_server
+        )
+        self.registers.on_changed.append(self.take_server)
+        self.registers.on_gone.append(self.drop_server)
+        self.peers = follower(INSTANCES_PREFIX, INSTANCES_GATHER_S, decode_instance)
+        self.peers.on_changed.append(lambda change: self.count_instances())
+        self.peers.on_gone.append(lambda gone: self.count_instances())
+        key = instance_key(settings.id)
+        self.registration = Registration(
+            RegistrationEntry(key, encode_instance(self.own)),
+            ports.store,
+            log,
+            self.store_health,
+            lambda: self.peers.revision is None or key in self.peers.table.entries,
+        )
+        self.runner = RequestRunner(
+            Surroundings(
+                self.fleet,
+                Chooser(settings.failure_domain, random.Random()),
+                self.servers.servers_of,
+            ),
+            ports.transport,
+            self.beliefs,
+            log,
+            self.metrics,
+            now,
+        )
+        self.tasks: list[asyncio.Task[None]] = []
+        self.on_table: list[Callable[[RoutingTable], None]] = []
+
+    def start(self) -> None:
+        """Start the periodic work."""
+        for work in (
+            self.configurations.follow(),
+            self.registers.follow(),
+            self.registers.tick(),
+            self.peers.follow(),
+            self.peers.tick(),
+            self.register_when_ready(),
+            self.watch_pauses(),
+        ):
+            self.tasks.append(asyncio.create_task(work))
+
+    async def stop(self) -> None:
+        """End the periodic work."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    @property
+    def ready(self) -> bool:
+        """Return whether callers should be sent here."""
+        return not self.withdrawn and self.informed
+
+    @property
+    def informed(self) -> bool:
+        """Return whether the configuration and the backend servers are known."""
+        return (
+            self.routing.table is not None
+            and self.registers.table.listed_at is not None
+        )
+
+    def beliefs(self) -> Beliefs:
+        """Return what is believed now, with its ages."""
+        at = self.now()
+        current_at = self.registers.current_at
+        return Beliefs(
+            self.routing.table,
+            at - self.routing_at if self.routing.table else -1.0,
+            at - current_at if current_at is not None else -1.0,
+            self.fleet.instances,
+        )
+
+    def addresses(self, failure_domain: str) -> Addresses | None:
+        """Return the addresses for a caller in a failure domain."""
+        return addresses_for(
+            self.peers.table.entries.values(),
+            self.own,
+            self.ready,
+            failure_domain,
+            self.settings.address_ttl_s,
+        )
+
+    async def register_when_ready(self) -> None:
+        """Register this instance once it can serve, and keep it registered."""
+        while not self.informed:
+            await asyncio.sleep(0.02)
+        self.note_readiness("configuration and backend servers are known")
+        await self.registration.keep()
+
+    async def withdraw(self) -> None:
+        """Tell callers and peers that this instance leaves."""
+        self.withdrawn = True
+        self.note_readiness("stop requested")
+        await self.registration.withdraw()
+
+    def note_readiness(self, reason: str) -> None:
+        """Log a change of the readiness."""
+        if self.ready != self.was_ready:
+            self.was_ready = self.ready
+            self.log.record(ReadinessChanged(self.ready, reason))
+
+    def take_configuration(self, change: EntryChanged) -> None:
+        """Follow a configuration that was read from the store."""
+        self.offer(change.value, "store")
+
+    def offer(self, table: RoutingTable, source: str) -> None:
+        """Adopt a configuration if it is newer."""
+        outcome = self.routing.offer(table)
+        if not isinstance(outcome, Adopted):
+            in_force = outcome.version_in_force
+            event = RoutingIgnored(table.version, table.revision, in_force, source)
+            self.log.record(event)
+            return
+        self.routing_at = self.now()
+        self.metrics.configuration_version.set(table.version)
+        self.log.record(
+            RoutingAdopted(
+                table.version,
+                table.revision,
+                outcome.replaced_version or 0,
+                len(table.routes),
+                source,
+            )
+        )
+        for listener in self.on_table:
+            listener(table)
+
+    def take_server(self, change: EntryChanged) -> None:
+        """Follow a new or changed backend server."""
+        server, previous = change.value, change.previous
+        self.servers.changed(change)
+        cold_until = self.now() + server.cold_s
+        self.fleet.note_start(server.id, server.incarnation, cold_until)
+        if previous is None or (
+            (previous.state, previous.address, previous.incarnation)
+            != (server.state, server.address, server.incarnation)
+        ):
+            self.log.record(
+                ServerChanged(
+                    server.id,
+                    server.service,
+                    server.state.value,
+                    server.address,
+                    server.incarnation,
+                    self.registers.revision or 0,
+                )
+            )
+
+    def drop_server(self, gone: EntryGone) -> None:
+        """Follow the end of a backend server."""
+        self.servers.gone(gone)
+        self.fleet.forget_server(gone.value.id)
+
+    def count_instances(self) -> None:
+        """Share the limits among the instances that are known."""
+        known = set(self.peers.table.entries) | {instance_key(self.settings.id)}
+        if len(known) != self.fleet.instances:
+            self.fleet.share_among(len(known))
+            self.metrics.instances.set(len(known))
+            event = InstancesChanged(tuple(sorted(known)), len(known))
+            self.log.record(event)
+
+    async def watch_pauses(self) -> None:
+        """Log times in which the process did not run."""
+        while True:
+            before = self.now()
+            await asyncio.sleep(PAUSE_CHECK_S)
+            missed_s = self.now() - before - PAUSE_CHECK_S
+            if missed_s > PAUSE_S:
+                self.log.record(TimeSkipped(missed_s))
--- /dev/null
+++ b/packages/gateway/src/fireflyrack/gateway/log_events.py
@@ -0,0 +1,101 @@
+"""Log events of the gateway slice."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from fireflyrack.telemetry import Importance, LogEvent
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessStarted(LogEvent):
+    """Tell that the process started."""
+
+    kind: ClassVar[str] = "started"
+    importance: ClassVar[Importance] = Importance.LIFECYCLE
+    incarnation: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessStopping(LogEvent):
+    """Tell a phase of the shutdown."""
+
+    kind: ClassVar[str] = "stopping"
+    importance: ClassVar[Importance] = Importance.LIFECYCLE
+    phase: str
+    in_flight: int
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsReloaded(LogEvent):
+    """Tell that the settings file was read again."""
+
+    kind: ClassVar[str] = "reloaded"
+    importance: ClassVar[Importance] = Importance.LIFECYCLE
+    outcome: str
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadinessChanged(LogEvent):
+    """Tell that this instance became ready or stopped being so."""
+
+    kind: ClassVar[str] = "readiness_changed"
+    ready: bool
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingAdopted(LogEvent):
+    """Tell that a configuration came into force."""
+
+    kind: ClassVar[str] = "configuration_adopted"
+    version: int
+    revision: int
+    replaced: int
+    routes: int
+    source: str
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingIgnored(LogEvent):
+    """Tell that a configuration was not newer than the one in force."""
+
+    kind: ClassVar[str] = "configuration_ignored"
+    version: int
+    revision: int
+    in_force: int
+    source: str
+
+
+@dataclass(frozen=True, slots=True)
+class ServerChanged(LogEvent):
+    """Tell that a backend server is new or says something else of itself."""
+
+    kind: ClassVar[str] = "backend_server_changed"
+    server: str
+    service: str
+    state: str
+    address: str
+    incarnation: int
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class InstancesChanged(LogEvent):
+    """Tell that the entry instances that share the limits changed."""
+
+    kind: ClassVar[str] = "instances_changed"
+    instances: tuple[str, ...]
+    counted: int
+
+
+@dataclass(frozen=True, slots=True)
+class TimeSkipped(LogEvent):
+    """Tell that the process did not run for a while."""
+
+    kind: ClassVar[str] = "process_paused"
+    importance: ClassVar[Importance] = Importance.LIFECYCLE
+    missed_s: float
--- /dev/null
+++ b/packages/gateway/src/fireflyrack/gateway/serving.py
@@ -0,0 +1,90 @@
+"""HTTP server: uvicorn inside a running loop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+from typing import Any
+
+import uvicorn
+
+LISTEN_BACKLOG = 2048
+GRACEFUL_TIMEOUT_S = 30.0
+STARTUP_POLL_S = 0.01
+
+
+class QuietServer(uvicorn.Server):
+    """Leave signals to the process; it decides when to stop."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Install no signal handlers."""
+        yield
+
+
+class HttpServer:
+    """Serve an application; call `bind`, then use it as a context manager.
+
+    Leaving the context stops listening and finishes the requests in flight.
+    """
+
+    def __init__(
+        self, app: Any, *addresses: str, drain_s: float = GRACEFUL_TIMEOUT_S
+    ) -> None:
+        self.addresses = addresses
+        config = uvicorn.Config(
+            app,
+            log_level="critical",
+            access_log=False,
+            lifespan="off",
+            server_header=False,
+            timeout_graceful_shutdown=drain_s,
+        )
+        self.server = QuietServer(config)
+        self.sockets: list[socket.socket] = []
+        self.task: asyncio.Task[None] | None = None
+
+    def bind(self) -> None:
+        """Take the addresses; raise OSError if one is in use."""
+        for address in self.addresses:
+            host, _, port = address.rpartition(":")
+            # asyncio sets TCP_NODELAY only on sockets whose protocol is given; without
+            # it each response waits 40 ms for a delayed acknowledgement.
+            listener = socket.socket(
+                socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
+            )
+            self.sockets.append(listener)
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                listener.bind((host, int(port)))
+            except OSError:
+                self.release()
+                raise
+            listener.listen(LISTEN_BACKLOG)
+
+    def release(self) -> None:
+        """Close the listening sockets of a server that does not start."""
+        for listener in self.sockets:
+            listener.close()
+        self.sockets.clear()
+
+    def set_idle_timeout(self, timeout_s: float) -> None:
+        """Close new connections after this time without a request."""
+        self.server.config.timeout_keep_alive = timeout_s
+
+    async def __aenter__(self) -> HttpServer:
+        self.task = asyncio.create_task(self.server.serve(self.sockets or None))
+        while not self.server.started:
+            await asyncio.sleep(STARTUP_POLL_S)
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Stop listening and finish the requests in flight."""
+        self.server.should_exit = True
+        if self.task:
+            await self.task
--- a/packages/entry/tests/test_serving.py
+++ b/packages/gateway/tests/test_serving.py
@@ -8,7 +8,7 @@
 import falcon.asgi
 import pytest
 
-from fireflyrack.entry import HttpServer
+from fireflyrack.gateway import HttpServer
 from fireflyrack.testbed.site import free_address
 
 
@@ -16,8 +16,8 @@
     server = HttpServer(falcon.asgi.App(), free_address())
     server.bind()
     async with server:
-        host, port = server.host, server.port
-        probe = socket.create_connection((host, port))
+        host, _, port = server.addresses[0].rpartition(":")
+        probe = socket.create_connection((host, int(port)))
         accepted = await next_connection(server)
         option = accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
         probe.close()
@@ -36,7 +36,7 @@
 async def test_an_address_in_use_is_reported():
     first = HttpServer(falcon.asgi.App(), free_address())
     first.bind()
-    second = HttpServer(falcon.asgi.App(), f"{first.host}:{first.port}")
+    second = HttpServer(falcon.asgi.App(), first.addresses[0])
     with pytest.raises(OSError, match="in use"):
         second.bind()
-    first.socket.close()
+    first.release()
--- /dev/null
+++ b/packages/routing/src/fireflyrack/routing/__init__.py
@@ -0,0 +1,35 @@
+"""Routes by host and prefix, splits, and the configuration version in force."""
+
+from __future__ import annotations
+
+from .routes import (
+    CallerLimits,
+    Route,
+    SearchTarget,
+    Service,
+    ServiceTarget,
+    SplitTarget,
+    Target,
+    WeightedService,
+    services_of,
+)
+from .splits import SplitState, shards_of
+from .table import Adopted, Ignored, RoutingInForce, RoutingTable
+
+__all__ = [
+    "Adopted",
+    "CallerLimits",
+    "Ignored",
+    "Route",
+    "RoutingInForce",
+    "RoutingTable",
+    "SearchTarget",
+    "Service",
+    "ServiceTarget",
+    "SplitState",
+    "SplitTarget",
+    "Target",
+    "WeightedService",
+    "services_of",
+    "shards_of",
+]
--- /dev/null
+++ b/packages/routing/src/fireflyrack/routing/table.py
@@ -0,0 +1,75 @@
+"""Routing table of one configuration version, and the version in force."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from .routes import CallerLimits, Route, Service
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingTable:
+    """Hold the routes, services and limits of one configuration version."""
+
+    version: int
+    # Revision of the store at which the version was written.
+    revision: int
+    routes: tuple[Route, ...] = ()
+    services: dict[str, Service] = field(default_factory=dict)
+    limits: CallerLimits = CallerLimits()
+    by_host: dict[str, dict[str, Route]] = field(init=False, default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Index the routes by host and prefix."""
+        for route in self.routes:
+            self.by_host.setdefault(route.host.lower(), {})[route.prefix] = route
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route of a host with the longest prefix of a path."""
+        prefixes = self.by_host.get(host.rpartition(":")[0].lower() or host.lower())
+        if prefixes is None:
+            prefixes = self.by_host.get(host.lower())
+        if prefixes is None:
+            return None
+        # A prefix begins and ends with a slash, so only whole segments can match.
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class Adopted:
+    """Report that a newer table came into force."""
+
+    table: RoutingTable
+    replaced_version: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class Ignored:
+    """Report that an offered table is not newer than the one in force."""
+
+    table: RoutingTable
+    version_in_force: int
+
+
+class RoutingInForce:
+    """Keep the newest routing table; a version never reverts.
+
+    Call `offer` with each table that is read; `table` is None until the first.
+    """
+
+    def __init__(self) -> None:
+        self.table: RoutingTable | None = None
+
+    def offer(self, table: RoutingTable) -> Adopted | Ignored:
+        """Adopt a table if its version is newer than the one in force."""
+        current = self.table
+        if current is not None and table.version <= current.version:
+            return Ignored(table, current.version)
+        self.table = table
+        return Adopted(table, current.version if current else None)
--- a/packages/search/src/fireflyrack/search/__init__.py
+++ b/packages/search/src/fireflyrack/search/__init__.py
@@ -7,7 +7,7 @@
 from .errors import Cause, FailureKind, SearchRejected, SnapshotFormatError
 from .evidence import AnsweredBy, decode_answers, encode_answers
 from .fanout import decide
-from .hedging import LatencyEstimate, hedge_delay
+from .hedging import hedge_delay
 from .merge import Hit, best_hits
 from .messages import (
     CoverageModel,
@@ -75,7 +75,6 @@
     "HedgeTimerFired",
     "Hit",
     "HitModel",
-    "LatencyEstimate",
     "PublishShare",
     "Query",
     "QueryStarted",
--- a/packages/search/src/fireflyrack/search/observations.py
+++ b/packages/search/src/fireflyrack/search/observations.py
@@ -6,9 +6,10 @@
 from dataclasses import dataclass, field
 from functools import singledispatch
 
+from fireflyrack.core import LatencyEstimate
+
 from .budgets import Budget, FailureAllowance
 from .errors import FailureKind
-from .hedging import LatencyEstimate
 from .settings import SearchSettings
 from .snapshots import Snapshot
 
--- a/packages/testbed/src/fireflyrack/testbed/http.py
+++ b/packages/testbed/src/fireflyrack/testbed/http.py
@@ -16,7 +16,7 @@
     configure_logging,
     load_settings,
 )
-from fireflyrack.entry import HttpServer
+from fireflyrack.gateway import HttpServer
 
 Settings = TypeVar("Settings", bound=SettingsModel)
 
--- a/packages/testbed/tests/test_proxy.py
+++ b/packages/testbed/tests/test_proxy.py
@@ -8,7 +8,7 @@
 import falcon.asgi
 import pytest
 
-from fireflyrack.entry import HttpServer
+from fireflyrack.gateway import HttpServer
 from fireflyrack.testbed.proxy import Fault, FaultProxy
 from fireflyrack.testbed.site import free_address
 
--- /dev/null
+++ b/tests/platform/stand_in_store.py
@@ -0,0 +1,202 @@
+"""Stand-in of the platform's metadata store, with faults."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from dataclasses import dataclass, field
+
+import falcon
+import falcon.asgi
+
+from fireflyrack.core import steady_now
+from fireflyrack.gateway import HttpServer
+
+PAGE = 50
+POLL_S = 0.02
+
+
+@dataclass(slots=True)
+class StoredItem:
+    """Hold one item."""
+
+    value: str
+    revision: int
+    created: int
+    lease: int
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """Hold the faults in force; change them while the store runs."""
+
+    # Status of every reply, 0 for none.
+    refuse_with: int = 0
+    # Replies never come.
+    silent: bool = False
+    # Writes are done and their replies lost.
+    lose_replies: bool = False
+    # Calls by kind, such as "kv-range".
+    calls: dict[str, int] = field(default_factory=dict)
+
+
+class StandInStore:
+    """Serve the store in this process; use it as a context manager."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.items: dict[str, StoredItem] = {}
+        self.revision = 1
+        self.events: list[dict] = []
+        self.oldest = 0
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.faults = StoreFaults()
+        app = falcon.asgi.App()
+        app.add_sink(self.serve, "/-/")
+        self.server = HttpServer(app, address, drain_s=0.1)
+
+    async def __aenter__(self) -> StandInStore:
+        self.server.bind()
+        await self.server.__aenter__()
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        self.faults.silent = False
+        await self.server.close()
+
+    async def write(self, key: str, value: bytes | dict, lease: int = 0) -> None:
+        """Write a key."""
+        raw = json.dumps(value).encode() if isinstance(value, dict) else value
+        self.revision += 1
+        old = self.items.get(key)
+        text = base64.b64encode(raw).decode()
+        created = old.created if old else self.revision
+        self.items[key] = StoredItem(text, self.revision, created, lease)
+        self.events.append(self.row(key))
+
+    async def remove(self, key: str) -> None:
+        """Delete a key."""
+        if self.items.pop(key, None) is None:
+            return
+        self.revision += 1
+        self.events.append({"key": key, "revision": self.revision, "deleted": True})
+
+    def forget_history(self) -> None:
+        """Drop the history, so that older watches get 410."""
+        self.events.clear()
+        self.oldest = self.revision
+
+    def row(self, key: str) -> dict:
+        """Return an item as it is sent."""
+        item = self.items[key]
+        return {
+            "key": key,
+            "value": item.value,
+            "revision": item.revision,
+            "created": item.created,
+            "lease": item.lease,
+        }
+
+    async def expire(self) -> None:
+        """Remove the keys of leases that have ended."""
+        now = steady_now()
+        for lease, (until, _) in list(self.leases.items()):
+            if now >= until:
+                await self.end(lease)
+
+    async def end(self, lease: int) -> None:
+        """End a lease."""
+        self.leases.pop(lease, None)
+        for key in [k for k, item in self.items.items() if item.lease == lease]:
+            await self.remove(key)
+
+    async def serve(self, request, response, **kwargs) -> None:
+        """Serve one call."""
+        call = request.path.split("/")[2]
+        self.faults.calls[call] = self.faults.calls.get(call, 0) + 1
+        if self.faults.refuse_with:
+            response.status = self.faults.refuse_with
+            return
+        await self.expire()
+        body = await request.stream.read()
+        status, reply = await self.dispatch(call, request, json.loads(body or b"{}"))
+        while self.faults.silent or (
+            self.faults.lose_replies and request.method == "POST"
+        ):
+            await asyncio.sleep(0.05)
+        response.status = status
+        response.media = reply
+
+    async def dispatch(self, call: str, request, body: dict) -> tuple[int, dict]:
+        """Return status and body of a call."""
+        query = request.params
+        match call:
+            case "kv-range":
+                return 200, self.range(query)
+            case "kv-watch":
+                return await self.watch(query)
+            case "kv-txn":
+                return await self.transact(body)
+            case "kv-lease":
+                lease = self.revision * 1000 + len(self.leases)
+                ttl_s = body["ttlMs"] / 1000
+                self.leases[lease] = (steady_now() + ttl_s, ttl_s)
+                return 200, {"lease": lease, "ttlMs": body["ttlMs"]}
+            case "kv-keep":
+                lease = int(request.path.rpartition("/")[2])
+                if lease not in self.leases:
+                    return 404, {}
+                ttl_s = self.leases[lease][1]
+                self.leases[lease] = (steady_now() + ttl_s, ttl_s)
+                return 200, {"ttlMs": ttl_s * 1000}
+            case "kv-lease-end":
+                await self.end(int(request.path.rpartition("/")[2]))
+                return 200, {}
+        return 404, {}
+
+    def range(self, query: dict) -> dict:
+        """Return one page."""
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(query["prefix"]) and key > query.get("after", "")
+        )
+        return {
+            "items": [self.row(key) for key in keys[:PAGE]],
+            "morePages": len(keys) > PAGE,
+            "storeRevision": self.revision,
+        }
+
+    async def watch(self, query: dict) -> tuple[int, dict]:
+        """Wait for events."""
+        after = int(query["after"])
+        until = steady_now() + int(query["waitMs"]) / 1000
+        while True:
+            if after < self.oldest:
+                return 410, {}
+            events = [
+                event
+                for event in self.events
+                if event["revision"] > after
+                and event["key"].startswith(query["prefix"])
+            ]
+            left_s = until - steady_now()
+            if events or left_s <= 0:
+                return 200, {"events": events, "storeRevision": self.revision}
+            await asyncio.sleep(POLL_S)
+
+    async def transact(self, body: dict) -> tuple[int, dict]:
+        """Make a change under conditions."""
+        for condition in body["expectedRev"]:
+            item = self.items.get(condition["key"])
+            if (item.revision if item else 0) != condition["revision"]:
+                return 412, {"items": []}
+        for write in body["writes"]:
+            lease = write.get("lease", 0)
+            if lease and lease not in self.leases:
+                return 404, {}
+            await self.write(write["key"], base64.b64decode(write["value"]), lease)
+        for key in body["remove"]:
+            await self.remove(key)
+        return 200, {"revision": self.revision}
