Move callers away from instances that lack processor time

Lines of a restarted process were also cut in the log: a write longer than a pipe takes at once is not atomic.

Change: the lateness of the event loop is measured; a strained instance says so in its register, directories leave it out while others can take its load, it sends no hedges and learns no latencies. Log writes hold whole lines of at most 4096 bytes. The build compiles the packages in target/deps.

--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,16 @@
+#!/bin/sh
+# Puts the libraries and the packages of the gateway into target/deps, compiled:
+# an instance that starts must not spend its first second on compiling.
+set -eu
+cd "$(dirname "$0")/.."
+deps=target/deps
+if [ ! "$deps/.libraries" -nt deploy/requirements.txt ]; then
+    python3 -m pip install -q -U --target "$deps" -r deploy/requirements.txt
+    touch "$deps/.libraries"
+fi
+rm -rf "$deps/fireflyrack"
+for package in core telemetry routing discovery forwarding gateway; do
+    cp -rp "packages/$package/src/fireflyrack" "$deps/"
+done
+cp -rp platform/src/fireflyrack "$deps/"
+python3 -m compileall -q "$deps/fireflyrack"
--- a/packages/discovery/src/fireflyrack/discovery/registration.py
+++ b/packages/discovery/src/fireflyrack/discovery/registration.py
@@ -94,6 +94,17 @@
             return False
         return True
 
+    async def replace(self, value: bytes) -> None:
+        """Register another value."""
+        self.entry = RegistrationEntry(self.entry.key, value)
+        if self.lease is None or self.withdrawn:
+            return
+        written = await self.store.put(self.entry.key, value, self.lease)
+        if isinstance(written, Failed):
+            # Registering anew writes the value as well.
+            self.lease = None
+            self.failed("replace register", written.error)
+
     async def withdraw(self) -> None:
         """Delete the entry."""
         self.withdrawn = True
--- a/packages/discovery/src/fireflyrack/discovery/servers.py
+++ b/packages/discovery/src/fireflyrack/discovery/servers.py
@@ -39,8 +39,8 @@
     failure_domain: str
     # Address that callers connect to.
     address: str
-    # Address of the links between instances.
-    link_address: str = ""
+    # Whether it lacks processor time and callers should go elsewhere.
+    strained: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/forwarding/src/fireflyrack/forwarding/decisions.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/decisions.py
@@ -262,6 +262,9 @@
         reason = "the other backend servers are busy"
     elif at + MIN_ATTEMPT_S >= state.deadline_at:
         reason = "no time left"
+    elif state.surroundings.strained():
+        # The attempt may be late only because this process is.
+        reason = "this instance lacks processor time"
     elif not fleet.budget(shard.service).take(hedge=True):
         reason = "no budget"
     if reason is None:
@@ -393,8 +396,12 @@
     health = fleet.server(attempt.server.id)
     health.end((id(state), attempt.id))
     observation = observation_of(state, attempt, at)
+    strained = state.surroundings.strained()
+    if strained and isinstance(outcome, Completed) and outcome.succeeded:
+        # The latency includes the own lateness and says nothing about the server.
+        observation = Observation(at, observation.typical_s, observation.typical_s)
     observe(outcome, health, observation)
-    if isinstance(outcome, Completed) and outcome.succeeded:
+    if isinstance(outcome, Completed) and outcome.succeeded and not strained:
         route = fleet.route(state.route.name, state.route.objective_s)
         route.estimate.record(observation.latency_s)
 
--- a/packages/forwarding/src/fireflyrack/forwarding/metrics.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/metrics.py
@@ -59,6 +59,11 @@
             "Version of the routing table in force.",
             registry=registry,
         )
+        self.loop_lag = Gauge(
+            "fireflyrack_event_loop_lag_seconds",
+            "How late the last timer ran.",
+            registry=registry,
+        )
         self.instances = Gauge(
             "fireflyrack_entry_instances",
             "Entry instances known, this one included.",
--- a/packages/forwarding/src/fireflyrack/forwarding/state.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/state.py
@@ -47,6 +47,8 @@
     fleet: FleetHealth
     chooser: Chooser
     servers_of: Callable[[str], tuple[BackendServer, ...]]
+    # Whether this instance lacks processor time.
+    strained: Callable[[], bool]
 
 
 @dataclass(slots=True)
--- a/packages/forwarding/tests/forwarding_cases.py
+++ b/packages/forwarding/tests/forwarding_cases.py
@@ -81,10 +81,12 @@
                 self.fleet,
                 Chooser("d0", random.Random(1)),
                 lambda name: self.servers.get(name, ()),
+                lambda: self.strained,
             ),
             deadline_at=DEADLINE_S,
             cut_at=CUT_S,
         )
+        self.strained = False
         self.sent = []
         self.cancelled = []
         self.answer = None
--- a/packages/forwarding/tests/test_decisions.py
+++ b/packages/forwarding/tests/test_decisions.py
@@ -264,3 +264,14 @@
     case.feed(CallerLeft(0.01))
     assert case.cancelled == [attempt.id for attempt in attempts]
     assert all(not health.outstanding for health in case.fleet.servers.values())
+
+
+def test_a_strained_instance_sends_no_hedges_and_blames_no_server():
+    """Guards against hedges that double the work of a machine that is slow itself."""
+    case = Case()
+    case.strained = True
+    (first,) = case.start()
+    assert case.wake(0.06) == []
+    case.end(first, completed(), 0.5)
+    assert case.fleet.server(first.server.id).slowness == 1.0
+    assert case.fleet.routes["r"].estimate.total == 0
--- a/packages/gateway/src/fireflyrack/gateway/directory.py
+++ b/packages/gateway/src/fireflyrack/gateway/directory.py
@@ -8,6 +8,8 @@
 from fireflyrack.discovery import EntryInstance
 
 MAX_ADDRESSES = 64
+# Strained instances are left out only if at least this part is not strained.
+MIN_USEFUL_PART = 0.6
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,8 +35,12 @@
     known.pop(own.address, None)
     if own_ready:
         known[own.address] = own
+    useful = [instance for instance in known.values() if not instance.strained]
+    # The rest must be able to take the load of those that are left out.
+    if len(useful) < MIN_USEFUL_PART * len(known):
+        useful = list(known.values())
     ranked = sorted(
-        known.values(), key=lambda i: (i.failure_domain != failure_domain, i.address)
+        useful, key=lambda i: (i.failure_domain != failure_domain, i.address)
     )
     if not ranked:
         return None
--- a/packages/gateway/src/fireflyrack/gateway/instance.py
+++ b/packages/gateway/src/fireflyrack/gateway/instance.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 import secrets
 from collections.abc import Callable
 
 from prometheus_client import CollectorRegistry
 
-from fireflyrack.core import steady_now
+from fireflyrack.core import Machine, steady_now
 from fireflyrack.discovery import (
     EntryChanged,
     EntryGone,
@@ -32,6 +33,7 @@
 from fireflyrack.routing import Adopted, RoutingInForce, RoutingTable
 from fireflyrack.telemetry import EventLog
 
+from . import pressure
 from .directory import Addresses, addresses_for
 from .instances import (
     INSTANCES_PREFIX,
@@ -45,6 +47,7 @@
     RoutingAdopted,
     RoutingIgnored,
     ServerChanged,
+    StrainObserved,
     TimeSkipped,
 )
 from .ports import Ports
@@ -57,7 +60,7 @@
 INSTANCES_GATHER_S = 0.1
 # Instances that are assumed to share the limits before the store listed them.
 UNKNOWN_INSTANCES = 8
-PAUSE_CHECK_S = 0.25
+LAG_CHECK_S = 0.05
 # The loop is late by less than this on a busy machine.
 PAUSE_S = 1.0
 
@@ -87,6 +90,9 @@
             BudgetLimits(settings.retry_ratio, settings.retry_burst)
         )
         self.fleet.share_among(UNKNOWN_INSTANCES)
+        self.pressure = Machine(
+            pressure.Pressure(), pressure.decide, self.follow_strain
+        )
         self.routing = RoutingInForce()
         self.routing_at = 0.0
         self.servers = ServersByService()
@@ -127,6 +133,7 @@
                 self.fleet,
                 Chooser(settings.failure_domain, random.Random()),
                 self.servers.servers_of,
+                lambda: self.pressure.state.strained,
             ),
             ports.transport,
             self.beliefs,
@@ -135,6 +142,7 @@
             now,
         )
         self.tasks: list[asyncio.Task[None]] = []
+        self.replacing: set[asyncio.Task[None]] = set()
         self.on_table: list[Callable[[RoutingTable], None]] = []
 
     def start(self) -> None:
@@ -146,7 +154,7 @@
             self.peers.follow(),
             self.peers.tick(),
             self.register_when_ready(),
-            self.watch_pauses(),
+            self.watch_lag(),
         ):
             self.tasks.append(asyncio.create_task(work))
 
@@ -270,11 +278,25 @@
             event = InstancesChanged(tuple(sorted(known)), len(known))
             self.log.record(event)
 
-    async def watch_pauses(self) -> None:
-        """Log times in which the process did not run."""
+    async def watch_lag(self) -> None:
+        """Measure how late timers are, and log times without any progress."""
         while True:
             before = self.now()
-            await asyncio.sleep(PAUSE_CHECK_S)
-            missed_s = self.now() - before - PAUSE_CHECK_S
-            if missed_s > PAUSE_S:
-                self.log.record(TimeSkipped(missed_s))
+            await asyncio.sleep(LAG_CHECK_S)
+            at = self.now()
+            lag_s = max(0.0, at - before - LAG_CHECK_S)
+            self.metrics.loop_lag.set(lag_s)
+            if lag_s > PAUSE_S:
+                # A pause says nothing about the processor time after it.
+                self.log.record(TimeSkipped(lag_s))
+                continue
+            self.pressure.feed(pressure.LagSampled(at, lag_s))
+
+    def follow_strain(self, change: pressure.StrainChanged) -> None:
+        """Tell peers whether callers should go elsewhere."""
+        self.log.record(StrainObserved(change.strained, change.lag_s))
+        self.own = dataclasses.replace(self.own, strained=change.strained)
+        value = encode_instance(self.own)
+        task = asyncio.create_task(self.registration.replace(value))
+        self.replacing.add(task)
+        task.add_done_callback(self.replacing.discard)
--- a/packages/gateway/src/fireflyrack/gateway/instances.py
+++ b/packages/gateway/src/fireflyrack/gateway/instances.py
@@ -18,7 +18,7 @@
     incarnation: str
     failure_domain: str
     address: str
-    link_address: str = ""
+    strained: bool = False
 
 
 def instance_key(instance_id: str) -> str:
@@ -33,7 +33,7 @@
         incarnation=instance.incarnation,
         failure_domain=instance.failure_domain,
         address=instance.address,
-        link_address=instance.link_address,
+        strained=instance.strained,
     )
     return model.model_dump_json().encode()
 
@@ -49,5 +49,5 @@
         model.incarnation,
         model.failure_domain,
         model.address,
-        model.link_address,
+        model.strained,
     )
--- a/packages/gateway/src/fireflyrack/gateway/log_events.py
+++ b/packages/gateway/src/fireflyrack/gateway/log_events.py
@@ -99,3 +99,12 @@
     kind: ClassVar[str] = "process_paused"
     importance: ClassVar[Importance] = Importance.LIFECYCLE
     missed_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class StrainObserved(LogEvent):
+    """Tell that this instance lacks processor time, or no longer does."""
+
+    kind: ClassVar[str] = "strain_changed"
+    strained: bool
+    lag_s: float
--- a/packages/telemetry/src/fireflyrack/telemetry/lines.py
+++ b/packages/telemetry/src/fireflyrack/telemetry/lines.py
@@ -8,6 +8,9 @@
 
 # A reader that stalls for longer than this many bytes loses lines.
 MAX_BUFFERED_BYTES = 256 * 1024
+# Pipes take this much at once or nothing, so that no line is cut where several
+# processes share one.
+MAX_WRITE_BYTES = 4096
 # Lines are gathered this long, because each write costs a system call.
 FLUSH_INTERVAL_S = 0.02
 
@@ -42,23 +45,32 @@
         """Write as much as the descriptor takes now."""
         self.scheduled = False
         while self.pending:
-            chunk = b"".join(self.pending)
-            self.pending.clear()
+            chunk = self.next_chunk()
             try:
                 written = os.write(self.descriptor, chunk)
             except BlockingIOError:
                 written = 0
             except OSError:
                 # The reader has gone for good; a log cannot report that itself.
-                self.dropped += chunk.count(b"\n")
+                self.dropped += chunk.count(b"\n") + len(self.pending)
+                self.pending.clear()
                 self.pending_bytes = 0
                 return
             self.pending_bytes -= written
             if written < len(chunk):
-                self.pending.append(chunk[written:])
+                self.pending.appendleft(chunk[written:])
                 self.wait_until_writable()
                 return
 
+    def next_chunk(self) -> bytes:
+        """Take whole lines off the queue, as many as fit into one atomic write."""
+        lines = [self.pending.popleft()]
+        size = len(lines[0])
+        while self.pending and size + len(self.pending[0]) <= MAX_WRITE_BYTES:
+            lines.append(self.pending.popleft())
+            size += len(lines[-1])
+        return b"".join(lines)
+
     def wait_until_writable(self) -> None:
         """Flush again once the descriptor takes bytes."""
         if self.waiting:
