--- /dev/null
+++ b/packages/forwarding/tests/test_choice.py
@@ -0,0 +1,89 @@
+from __future__ import annotations
+
+import random
+
+from forwarding_cases import server
+
+from fireflyrack.forwarding import (
+    BudgetLimits,
+    Chooser,
+    FleetHealth,
+    Interrupted,
+    Load,
+    NotConnected,
+)
+from fireflyrack.forwarding.choice import choose_server
+from fireflyrack.forwarding.health import Observation, observe
+
+SERVERS = tuple(server("s", number) for number in range(3))
+CHOOSER = Chooser("d0", random.Random(1))
+USUAL = Observation(1.0, 0.02, 0.02)
+
+
+def choose(fleet: FleetHealth, at: float = 1.0, chooser: Chooser = CHOOSER):
+    return choose_server(chooser, SERVERS, fleet, 100, frozenset(), at).server.id
+
+
+def fleet_of() -> FleetHealth:
+    return FleetHealth(BudgetLimits(0.2, 50))
+
+
+def test_the_near_server_is_chosen_until_it_is_busy():
+    """Guards against needless bytes between failure domains, and against a queue."""
+    fleet = fleet_of()
+    assert choose(fleet) == "s-0"
+    for number in range(8):
+        fleet.server("s-0").start((1, number), 1.0, 1.0)
+    assert choose(fleet) != "s-0"
+
+
+def test_a_slow_server_is_left_and_tried_again_later():
+    """Guards against a straggler that sets the latency, and one never forgiven."""
+    fleet = fleet_of()
+    for _ in range(5):
+        fleet.server("s-0").note_slowness(10.0, 1.0)
+    assert choose(fleet) != "s-0"
+    assert choose(fleet, at=30.0) == "s-0"
+
+
+def test_failing_and_unreachable_servers_are_left():
+    """Guards against a server that fails fast and so looks free."""
+    for outcome in (Interrupted("reset"), NotConnected("refused")):
+        fleet = fleet_of()
+        observe(outcome, fleet.server("s-0"), USUAL)
+        assert choose(fleet) != "s-0"
+
+
+def test_a_server_that_answers_nothing_is_left_before_its_attempts_time_out():
+    """Guards against all requests of a pause going to the server that pauses."""
+    fleet = fleet_of()
+    fleet.server("s-0").start((1, 1), 1.0, 0.03)
+    assert choose(fleet, at=1.02) == "s-0"
+    assert choose(fleet, at=1.1) != "s-0"
+
+
+def test_the_load_of_other_instances_counts_for_a_while():
+    """Guards against a server that others have filled."""
+    fleet = fleet_of()
+    health = fleet.server("s-0")
+    health.load, health.load_at, health.own_at_load = Load(2, 6, 2), 1.0, 0
+    assert choose(fleet, at=1.1) != "s-0"
+    assert choose(fleet, at=2.0) == "s-0"
+
+
+def test_with_all_servers_bad_the_least_bad_is_used():
+    """Guards against ejecting the last replica of a shard."""
+    fleet = fleet_of()
+    for number in range(3):
+        for _ in range(5):
+            health = fleet.server(f"s-{number}")
+            observe(Interrupted("reset"), health, USUAL)
+    assert choose(fleet) in {"s-0", "s-1", "s-2"}
+
+
+def test_a_new_start_of_a_server_is_judged_anew():
+    """Guards against blaming a restarted server for its earlier run."""
+    fleet = fleet_of()
+    observe(NotConnected("refused"), fleet.server("s-0"), USUAL)
+    fleet.note_start("s-0", incarnation=7, cold_until=0.0)
+    assert choose(fleet) == "s-0"
