Add the trace command: the story of a request from logs

Cause: engineers on call have only logs, of several instances, and had to search and order lines by hand.

Change: `fireflyrack trace ID` prints what the instance believed and what happened, and counts what was left out or cannot be read. It asks no instance.

--- a/packages/operator/src/fireflyrack/operator/main.py
+++ b/packages/operator/src/fireflyrack/operator/main.py
@@ -28,7 +28,7 @@
 def main(arguments: list[str] | None = None) -> int:
     """Run the command line; return the exit code."""
     options = build_parser().parse_args(arguments)
-    if not options.instance:
+    if options.needs_instance and not options.instance:
         print("fireflyrack: give at least one --instance", file=sys.stderr)
         return EXIT_USAGE
     try:
--- a/packages/operator/src/fireflyrack/operator/parser.py
+++ b/packages/operator/src/fireflyrack/operator/parser.py
@@ -7,6 +7,7 @@
 
 from . import commands, output
 from .quarantine_commands import add_quarantine_commands
+from .trace_command import add_trace_command
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -78,6 +79,7 @@
     add_inspection(adder)
     add_caller_commands(adder)
     add_quarantine_commands(adder, add)
+    add_trace_command(adder, add)
     return parser
 
 
@@ -87,7 +89,12 @@
         name, help=text, description=f"{text[0].upper()}{text[1:]}.", epilog=EXIT_TEXT
     )
     common_options(parser, top=False)
-    parser.set_defaults(run=run, lines=lines, error_lines=output.conflict_lines)
+    parser.set_defaults(
+        run=run,
+        lines=lines,
+        error_lines=output.conflict_lines,
+        needs_instance=True,
+    )
     return parser
 
 
--- /dev/null
+++ b/packages/operator/src/fireflyrack/operator/trace_command.py
@@ -0,0 +1,51 @@
+"""Command that tells the story of a request from log files."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+from fireflyrack.core import Failed, Ok, Outcome
+
+from .client import ApiClient
+from .errors import CallFailed
+from .stories import story_lines, tell_story
+
+
+async def run_trace(client: ApiClient, options: argparse.Namespace) -> Outcome:
+    """Tell the story of a request; no instance is asked."""
+    try:
+        story = tell_story(options.request, read_logs(options.files))
+    except OSError as error:
+        return Failed(CallFailed("unreadable_file", str(error)))
+    if not story.lines:
+        message = f"no line about {options.request}; left out: {story.omitted or 0}"
+        return Failed(CallFailed("no_such_request", message))
+    return Ok(story.as_json())
+
+
+def read_logs(files: list[str]) -> Iterator[str]:
+    """Yield the lines of all files, or of standard input without any."""
+    if not files:
+        yield from sys.stdin
+    for name in files:
+        with Path(name).open(encoding="utf-8", errors="replace") as log:
+            yield from log
+
+
+def add_trace_command(adder: argparse._SubParsersAction, add) -> None:
+    """Add the command."""
+    trace = add(
+        adder,
+        "trace",
+        "tell the story of a request from the logs of instances",
+        run_trace,
+        story_lines,
+    )
+    trace.add_argument("request", metavar="ID", help="id of the request")
+    trace.add_argument(
+        "files", nargs="*", metavar="FILE", help="log files; standard input by default"
+    )
+    trace.set_defaults(needs_instance=False)
