Share observations between entry instances, and count the retry budget in windows

The new slice peers tells the peers of a failure domain over the links which backend servers are slow or fail; two have to agree. It tells all peers which requests crash backend servers (quarantine after the third crash in a second attempt of the caller) and gives its beliefs to an instance that starts while the store gives nothing. The budget counts requests and extra attempts of the last window, as the operator's bound does.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,7 +9,7 @@
     touch "$deps/.libraries"
 fi
 rm -rf "$deps/fireflyrack"
-for package in core telemetry routing discovery forwarding gateway; do
+for package in core telemetry routing discovery links forwarding peers gateway; do
     cp -rp "packages/$package/src/fireflyrack" "$deps/"
 done
 cp -rp platform/src/fireflyrack "$deps/"
--- a/packages/core/src/fireflyrack/core/settings.py
+++ b/packages/core/src/fireflyrack/core/settings.py
@@ -5,7 +5,6 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
-import yaml
 from pydantic import BaseModel, ConfigDict, ValidationError
 
 from .errors import SettingsError, SettingsProblem
@@ -35,6 +34,9 @@
 
 def parse_settings(text: str, model: type[Model], source: str) -> Model:
     """Read YAML text into the model; raise SettingsError with all wrong keys."""
+    # Imported on use: a gateway reads no YAML, and its start must not wait for it.
+    import yaml  # noqa: PLC0415
+
     try:
         data = yaml.safe_load(text)
     except yaml.YAMLError as error:
--- a/packages/discovery/src/fireflyrack/discovery/follower.py
+++ b/packages/discovery/src/fireflyrack/discovery/follower.py
@@ -62,6 +62,8 @@
         self.current_at: float | None = None
         # Steady time of the first listing, None before.
         self.first_listed_at: float | None = None
+        # Items of the entries in use as they were read, for peers that have none.
+        self.items: dict[str, Item] = {}
         self.on_changed: list[Callable[[EntryChanged], None]] = []
         self.on_gone: list[Callable[[EntryGone], None]] = []
         self.machine = Machine(EntryTable(), entries.decide, self.perform)
@@ -126,6 +128,16 @@
         decoded = tuple((item.key, self.value_of(item)) for item in items)
         self.machine.feed(entries.Listed(self.now(), decoded))
 
+    def adopt(self, items: tuple[Item, ...]) -> bool:
+        """Take what a peer believes while the store gave nothing yet.
+
+        Return whether it was taken; the next listing of the store replaces it.
+        """
+        if self.first_listed_at is not None:
+            return False
+        self.take_listing(items)
+        return True
+
     async def watch_once(self) -> bool:
         """Wait for changes once; return whether the store answered."""
         prefix = self.settings.prefix
@@ -170,6 +182,7 @@
         if isinstance(value, Unreadable):
             self.log.record(EntryRejected(item.key, item.revision, value.reason))
             return None
+        self.items[item.key] = item
         return value
 
     @singledispatchmethod
@@ -185,6 +198,7 @@
     @perform.register
     def _(self, action: EntryGone) -> None:
         revision = self.revision or 0
+        self.items.pop(action.key, None)
         self.log.record(EntryBelief(action.key, "gone", revision, action.reason))
         for listener in self.on_gone:
             listener(action)
--- a/packages/discovery/src/fireflyrack/discovery/servers.py
+++ b/packages/discovery/src/fireflyrack/discovery/servers.py
@@ -41,6 +41,8 @@
     address: str
     # Whether it lacks processor time and callers should go elsewhere.
     strained: bool = False
+    # Address that its peers connect to, empty if it takes no links.
+    peer_address: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/forwarding/src/fireflyrack/forwarding/__init__.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/__init__.py
@@ -16,8 +16,10 @@
 )
 from .budget import BudgetLimits, RetryBudget
 from .choice import Chooser, connection_share
+from .crashes import ClearedReport, Crash, CrashBook, CrashReport, take_report
 from .health import FleetHealth
 from .metrics import ForwardingMetrics
+from .reports import ServerReport
 from .requests import (
     Answer,
     CallerRequest,
@@ -42,7 +44,11 @@
     "CallerRequest",
     "Cause",
     "Chooser",
+    "ClearedReport",
     "Completed",
+    "Crash",
+    "CrashBook",
+    "CrashReport",
     "FleetHealth",
     "ForwardingMetrics",
     "Headers",
@@ -57,8 +63,10 @@
     "Relayed",
     "RequestRunner",
     "RetryBudget",
+    "ServerReport",
     "Surroundings",
     "TimedOut",
     "Unknown",
     "connection_share",
+    "take_report",
 ]
--- a/packages/forwarding/src/fireflyrack/forwarding/attempts.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/attempts.py
@@ -94,3 +94,6 @@
 
     async def send(self, request: CallerRequest, attempt: Attempt) -> AttemptOutcome:
         """Send one attempt; cancelling it ends the work at the backend server."""
+
+    async def reachable(self, server: BackendServer) -> bool:
+        """Return whether a backend server takes a connection; nothing is sent."""
--- a/packages/forwarding/src/fireflyrack/forwarding/budget.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/budget.py
@@ -2,63 +2,78 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import math
+from collections import deque
+from dataclasses import dataclass, field
 
 # Part of the fleet's allowance that is used. The rest covers arrivals that are
 # counted in another window than their request.
 USED_PART = 0.8
-# Part of the burst that hedges leave to retries after failures.
+# Part of the slack that hedges leave to retries after failures.
 RETRY_RESERVE_PART = 0.2
-# Part of the burst that a new instance starts with. The instance that it replaces may
-# just have spent the whole burst.
+# Part of the slack that a new instance has in its first window. The instance that it
+# replaces may just have spent the whole.
 INITIAL_PART = 0.25
 
 
 @dataclass(frozen=True, slots=True)
 class BudgetLimits:
-    """Hold the allowance of the whole fleet for each service."""
+    """Hold the allowance of the whole fleet for each service in any window."""
 
     # Extra attempts for each request.
     ratio: float
-    # Extra attempts beyond the ratio within the window.
-    burst: float
+    # Extra attempts beyond the ratio.
+    slack: float
+    window_s: float
+    # Time at which this instance started.
+    started_at: float = -math.inf
 
 
 @dataclass(slots=True)
 class RetryBudget:
-    """Hold the tokens of one service; one token pays one extra attempt."""
+    """Hold the requests and the extra attempts of one service in the last window."""
 
     limits: BudgetLimits
     instances: int
-    tokens: float = 0.0
-
-    def __post_init__(self) -> None:
-        """Start with a part of the burst."""
-        self.tokens = INITIAL_PART * self.burst
-
-    @property
-    def burst(self) -> float:
-        """Return the most tokens that this instance may hold."""
-        return USED_PART * self.limits.burst / self.instances
+    requests: deque[float] = field(default_factory=deque)
+    extras: deque[float] = field(default_factory=deque)
 
     def share_among(self, instances: int) -> None:
         """Follow a change of the number of instances."""
         self.instances = instances
-        self.tokens = min(self.tokens, self.burst)
 
-    def earn(self) -> None:
-        """Add the tokens of one request."""
-        income = USED_PART * self.limits.ratio
-        self.tokens = min(self.tokens + income, self.burst)
+    def slack(self, at: float) -> float:
+        """Return the own share of the slack."""
+        share = USED_PART * self.limits.slack / self.instances
+        started = at - self.limits.started_at < self.limits.window_s
+        return INITIAL_PART * share if started else share
+
+    def left(self, at: float) -> float:
+        """Return how many extra attempts may be sent now."""
+        self.forget(self.requests, at)
+        self.forget(self.extras, at)
+        earned = USED_PART * self.limits.ratio * len(self.requests)
+        return self.slack(at) + earned - len(self.extras)
 
-    def take(self, hedge: bool) -> bool:
-        """Take a token; hedges leave a reserve for retries."""
-        reserve = RETRY_RESERVE_PART * self.burst if hedge else 0.0
-        if self.tokens < 1 + reserve:
+    def earn(self, at: float) -> None:
+        """Count a request."""
+        self.forget(self.requests, at)
+        self.requests.append(at)
+
+    def take(self, at: float, hedge: bool) -> bool:
+        """Count an extra attempt if allowed; hedges leave a reserve to retries."""
+        reserve = RETRY_RESERVE_PART * self.slack(at) if hedge else 0.0
+        if self.left(at) < 1 + reserve:
             return False
-        self.tokens -= 1
+        self.extras.append(at)
         return True
 
     def refund(self) -> None:
-        """Give a token back whose attempt never reached a backend server."""
-        self.tokens = min(self.tokens + 1, self.burst)
+        """Take back an extra attempt that never reached a backend server."""
+        if self.extras:
+            self.extras.pop()
+
+    def forget(self, times: deque[float], at: float) -> None:
+        """Drop what lies before the window."""
+        while times and times[0] <= at - self.limits.window_s:
+            times.popleft()
--- a/packages/forwarding/src/fireflyrack/forwarding/choice.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/choice.py
@@ -77,8 +77,8 @@
                 server,
                 cost,
                 len(health.outstanding),
-                health.slowness_now(at),
-                health.failing_now(at),
+                health.believed_slowness(at),
+                health.believed_failing(at),
                 0,
             )
     if best is None:
@@ -95,8 +95,8 @@
     slots = max(1, server.slots)
     load = health.load_now(at)
     queue = max(0, load + 1 - slots) / slots
-    cost = health.slowness_now(at) * (1 + queue + BUSY_COST * load / slots)
-    cost *= 1 + FAILING_FACTOR * health.failing_now(at)
+    cost = health.believed_slowness(at) * (1 + queue + BUSY_COST * load / slots)
+    cost *= 1 + FAILING_FACTOR * health.believed_failing(at)
     if server.failure_domain != failure_domain:
         cost *= DISTANCE_FACTOR
     if at < health.cold_until:
--- a/packages/forwarding/src/fireflyrack/forwarding/decisions.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/decisions.py
@@ -31,6 +31,7 @@
     AttemptEnded,
     CallerLeft,
     Cancel,
+    CheckServer,
     Finish,
     RequestState,
     Send,
@@ -67,7 +68,7 @@
     choices = [choose(state, shard, event.at) for shard in state.shards]
     usable = sum(choice is not None for choice in choices)
     for shard, choice in zip(state.shards, choices, strict=True):
-        state.surroundings.fleet.budget(shard.service).earn()
+        state.surroundings.fleet.budget(shard.service).earn(event.at)
         if choice is None:
             shard.cause = cause_without_choice(state, shard)
     if usable < least_shards(state):
@@ -89,8 +90,9 @@
         return Decision(state)
     latency_s = event.at - state.sent_at[attempt.id]
     observe_attempt(state, attempt, event.outcome, event.at)
+    actions = list(note_crash(event.outcome, state, attempt, event.at))
     tell_end(state, attempt, event.outcome, latency_s)
-    actions = list(take_outcome(event.outcome, state, shard, event.at))
+    actions += take_outcome(event.outcome, state, shard, event.at)
     return proceed(state, event.at, actions)
 
 
@@ -158,7 +160,8 @@
     shard.cause = Cause.UNREACHABLE
     # Nothing was sent, so the attempt counts neither for the route nor the budget.
     shard.attempts -= 1
-    state.surroundings.fleet.budget(shard.service).refund()
+    if shard.attempts:
+        state.surroundings.fleet.budget(shard.service).refund()
     return retry(state, shard, at, not shard.may_have_run or state.route.idempotent)
 
 
@@ -180,6 +183,43 @@
     return retry(state, shard, at, state.route.idempotent)
 
 
+@singledispatch
+def note_crash(
+    outcome: AttemptOutcome, state: RequestState, attempt: Attempt, at: float
+) -> tuple[Any, ...]:
+    """Record what an outcome says of a request that may crash backend servers."""
+    return ()
+
+
+@note_crash.register
+def _(
+    outcome: Completed, state: RequestState, attempt: Attempt, at: float
+) -> tuple[Any, ...]:
+    if outcome.succeeded:
+        state.surroundings.crashes.note_completed(state.request, at)
+    return ()
+
+
+@note_crash.register
+def _(
+    outcome: Interrupted, state: RequestState, attempt: Attempt, at: float
+) -> tuple[Any, ...]:
+    server = attempt.server
+    crashes = state.surroundings.crashes
+    doubted = crashes.note_interrupted(state.request, server.id, server.incarnation, at)
+    known = state.surroundings.servers_of(server.service)
+    return tuple(CheckServer(s) for s in known if (s.id, s.incarnation) in doubted)
+
+
+@note_crash.register
+def _(
+    outcome: NotConnected, state: RequestState, attempt: Attempt, at: float
+) -> tuple[Any, ...]:
+    server = attempt.server
+    state.surroundings.crashes.note_away(server.id, server.incarnation, at)
+    return ()
+
+
 def choose(state: RequestState, shard: ShardProgress, at: float) -> Choice | None:
     """Return the backend server for the next attempt of a shard."""
     surroundings = state.surroundings
@@ -239,7 +279,7 @@
             slowness=choice.slowness,
             failing=choice.failing,
             candidates=choice.candidates,
-            budget=fleet.budget(shard.service).tokens,
+            budget=fleet.budget(shard.service).left(at),
         )
     )
     return Send(attempt)
@@ -265,11 +305,11 @@
     elif state.surroundings.strained():
         # The attempt may be late only because this process is.
         reason = "this instance lacks processor time"
-    elif not fleet.budget(shard.service).take(hedge=True):
+    elif not fleet.budget(shard.service).take(at, hedge=True):
         reason = "no budget"
     if reason is None:
         return (send(state, number, choice, at, Purpose.HEDGE),)
-    withhold(state, shard, Purpose.HEDGE, reason)
+    withhold(state, shard, Purpose.HEDGE, reason, at)
     route = fleet.route(state.route.name, state.route.objective_s)
     shard.hedge_at = at + HEDGE_RECHECK_PART * route.hedge_delay_s
     return ()
@@ -290,20 +330,20 @@
         reason = "no other backend server"
     elif at + MIN_ATTEMPT_S >= state.deadline_at:
         reason = "no time left"
-    elif not fleet.budget(shard.service).take(hedge=False):
+    elif shard.attempts and not fleet.budget(shard.service).take(at, hedge=False):
         reason = "no budget"
     if reason is not None:
-        withhold(state, shard, Purpose.RETRY, reason)
+        withhold(state, shard, Purpose.RETRY, reason, at)
         return ()
     number = state.shards.index(shard)
     return (send(state, number, choice, at, Purpose.RETRY),)
 
 
 def withhold(
-    state: RequestState, shard: ShardProgress, purpose: Purpose, reason: str
+    state: RequestState, shard: ShardProgress, purpose: Purpose, reason: str, at: float
 ) -> None:
     """Record that an extra attempt is not sent."""
-    budget = state.surroundings.fleet.budget(shard.service).tokens
+    budget = state.surroundings.fleet.budget(shard.service).left(at)
     state.story.append(
         ExtraAttemptWithheld(
             state.request.id, purpose.value, shard.service, reason, budget
@@ -372,6 +412,7 @@
         health = state.surroundings.fleet.server(attempt.server.id)
         health.end((id(state), attempt.id))
         note_abandoned(health, observation_of(state, attempt, at))
+        state.surroundings.fleet.note_observed(attempt.server.id, at)
         actions.append(Cancel(attempt.id))
     shard.outstanding.clear()
     return actions
@@ -401,6 +442,7 @@
         # The latency includes the own lateness and says nothing about the server.
         observation = Observation(at, observation.typical_s, observation.typical_s)
     observe(outcome, health, observation)
+    fleet.note_observed(attempt.server.id, at)
     if isinstance(outcome, Completed) and outcome.succeeded and not strained:
         route = fleet.route(state.route.name, state.route.objective_s)
         route.estimate.record(observation.latency_s)
--- a/packages/forwarding/src/fireflyrack/forwarding/health.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/health.py
@@ -18,6 +18,14 @@
     TimedOut,
 )
 from .budget import BudgetLimits, RetryBudget
+from .reports import (
+    NOTABLE_FAILING,
+    NOTABLE_SLOWNESS,
+    REPORT_MEMORY_S,
+    ServerReport,
+    Told,
+    agreed,
+)
 
 # Weight of the newest latency in a backend server's average.
 LATENCY_WEIGHT = 0.3
@@ -71,6 +79,8 @@
     own_at_load: int = 0
     cold_until: float = -math.inf
     answered_at: float = -math.inf
+    # Newest report of each peer.
+    told: dict[str, Told] = field(default_factory=dict)
 
     def start(self, attempt: tuple[int, int], at: float, late_s: float) -> None:
         """Count an attempt as in flight."""
@@ -82,16 +92,34 @@
 
     def slowness_now(self, at: float) -> float:
         """Return the slowness, its excess reduced by its age."""
-        age_s = at - self.slowness_at
-        if self.slowness <= 1 or age_s <= 0:
-            return self.slowness
-        return 1 + (self.slowness - 1) * 0.5 ** (age_s / SLOWNESS_HALF_LIFE_S)
+        return aged_slowness(self.slowness, at - self.slowness_at)
 
     def failing_now(self, at: float) -> float:
         """Return the share of failures, reduced by its age."""
-        if not self.failing:
-            return 0.0
-        return self.failing * 0.5 ** ((at - self.failing_at) / FAILURE_HALF_LIFE_S)
+        return aged_failing(self.failing, at - self.failing_at)
+
+    def believed_slowness(self, at: float) -> float:
+        """Return the slowness from own observations and those of peers."""
+        own = self.slowness_now(at)
+        if not self.told:
+            return own
+        told = [aged_slowness(t.slowness, at - t.at) for t in self.told.values()]
+        return agreed(own, told)
+
+    def believed_failing(self, at: float) -> float:
+        """Return the share of failures from own observations and those of peers."""
+        own = self.failing_now(at)
+        if not self.told:
+            return own
+        told = [aged_failing(t.failing, at - t.at) for t in self.told.values()]
+        return agreed(own, told)
+
+    def note_told(self, peer: str, report: ServerReport, at: float) -> None:
+        """Keep the report of a peer and drop outdated ones."""
+        self.told[peer] = Told(report.slowness, report.failing, at)
+        for known, told in tuple(self.told.items()):
+            if at > told.at + REPORT_MEMORY_S:
+                del self.told[known]
 
     def load_now(self, at: float) -> int:
         """Return the requests that are believed to run or wait there."""
@@ -124,6 +152,20 @@
         self.failing_at = at
 
 
+def aged_slowness(slowness: float, age_s: float) -> float:
+    """Return a slowness, its excess reduced by its age."""
+    if slowness <= 1 or age_s <= 0:
+        return slowness
+    return 1 + (slowness - 1) * 0.5 ** (age_s / SLOWNESS_HALF_LIFE_S)
+
+
+def aged_failing(failing: float, age_s: float) -> float:
+    """Return a share of failures, reduced by its age."""
+    if not failing or age_s <= 0:
+        return failing
+    return failing * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+
+
 @dataclass(slots=True)
 class RouteHealth:
     """Hold the latencies of the attempts of one route."""
@@ -156,6 +198,8 @@
         self.servers: dict[str, ServerHealth] = {}
         self.routes: dict[str, RouteHealth] = {}
         self.budgets: dict[str, RetryBudget] = {}
+        # Backend servers with notable observations that peers were not told.
+        self.notable: set[str] = set()
 
     def server(self, server_id: str) -> ServerHealth:
         """Return what was observed of a backend server."""
@@ -179,6 +223,33 @@
             self.budgets[service] = budget
         return budget
 
+    def note_observed(self, server_id: str, at: float) -> None:
+        """Remember to tell peers of a backend server that is slow or fails."""
+        health = self.server(server_id)
+        slow = health.slowness_now(at) >= NOTABLE_SLOWNESS
+        if slow or health.failing_now(at) >= NOTABLE_FAILING:
+            self.notable.add(server_id)
+
+    def take_reports(self, at: float) -> tuple[ServerReport, ...]:
+        """Return what peers were not told yet."""
+        notable, self.notable = self.notable, set()
+        return tuple(
+            ServerReport(
+                server_id,
+                health.incarnation,
+                health.slowness_now(at),
+                health.failing_now(at),
+            )
+            for server_id in sorted(notable)
+            if (health := self.servers.get(server_id)) is not None
+        )
+
+    def take_report(self, peer: str, report: ServerReport, at: float) -> None:
+        """Follow what a peer observed of a backend server."""
+        health = self.servers.get(report.server)
+        if health is not None and health.incarnation == report.incarnation:
+            health.note_told(peer, report, at)
+
     def share_among(self, instances: int) -> None:
         """Follow a change of the number of instances."""
         self.instances = instances
--- a/packages/forwarding/src/fireflyrack/forwarding/log_events.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/log_events.py
@@ -79,7 +79,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestRejected(LogEvent):
-    """Tell that a request was answered without a route."""
+    """Tell that a request was answered without being run, and why."""
 
     kind: ClassVar[str] = "request_rejected"
     importance: ClassVar[Importance] = Importance.NOTABLE
@@ -87,5 +87,6 @@
     host: str
     target: str
     outcome: str
+    cause: str
     configuration: int
     configuration_age_s: float
--- a/packages/forwarding/src/fireflyrack/forwarding/requests.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/requests.py
@@ -41,6 +41,7 @@
     INTERRUPTED = "a backend server broke off"
     SERVER_FAILED = "a backend server answered with a failure"
     TIMED_OUT = "the time ran out"
+    QUARANTINED = "the request crashes backend servers"
     COVERAGE = "too few shards answered"
     INTERNAL = "the system has a fault"
 
--- a/packages/forwarding/src/fireflyrack/forwarding/runner.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/runner.py
@@ -8,10 +8,12 @@
 from functools import singledispatchmethod
 
 from fireflyrack.core import Machine
+from fireflyrack.discovery import BackendServer
 from fireflyrack.routing import Route, RoutingTable, SplitState, shards_of
 from fireflyrack.telemetry import EventLog, Importance
 
 from .attempts import Attempt, BackendTransport, Interrupted
+from .crashes import QUARANTINE_S
 from .decisions import decide
 from .log_events import RequestOver, RequestRejected
 from .metrics import ForwardingMetrics
@@ -28,6 +30,7 @@
     AttemptEnded,
     CallerLeft,
     Cancel,
+    CheckServer,
     Finish,
     RequestState,
     Send,
@@ -44,6 +47,8 @@
 MAX_CUT_RESERVE_S = 0.02
 # Callers come back after this time while no configuration is known.
 UNCONFIGURED_RETRY_AFTER_S = 0.5
+# A quarantined request is told to come back after the quarantine may have ended.
+QUARANTINED_RETRY_AFTER_S = QUARANTINE_S
 # Connections of a service that the configuration does not declare.
 DEFAULT_MAX_CONNECTIONS = 8
 
@@ -81,6 +86,7 @@
         self.now = now
         self.splits = SplitState()
         self.in_flight = 0
+        self.checks: dict[str, asyncio.Task[None]] = {}
 
     async def handle(self, request: CallerRequest) -> Answer:
         """Return the answer to a request."""
@@ -95,6 +101,9 @@
         route = table.match(request.host, request.path)
         if route is None:
             return self.reject(request, beliefs, NoRoute())
+        if self.surroundings.crashes.quarantined(request, self.now()):
+            refusal = NotRun(Cause.QUARANTINED, QUARANTINED_RETRY_AFTER_S)
+            return self.reject(request, beliefs, refusal)
         self.in_flight += 1
         try:
             run = RequestRun(self, request, route, table)
@@ -104,19 +113,34 @@
         self.tell(run.machine.state, answer, beliefs)
         return answer
 
+    def check(self, server: BackendServer) -> None:
+        """Look whether a backend server is still there, unless that is under way."""
+        if server.id not in self.checks:
+            task = asyncio.create_task(self.find_away(server))
+            self.checks[server.id] = task
+            task.add_done_callback(lambda _: self.checks.pop(server.id, None))
+
+    async def find_away(self, server: BackendServer) -> None:
+        """Record a backend server that takes no connection."""
+        if not await self.transport.reachable(server):
+            crashes = self.surroundings.crashes
+            crashes.note_away(server.id, server.incarnation, self.now())
+
     def reject(
         self, request: CallerRequest, beliefs: Beliefs, answer: Answer
     ) -> Answer:
-        """Answer without a route."""
+        """Answer a request that is not run."""
         outcome = type(answer).__name__
+        cause = answer.cause.value if isinstance(answer, NotRun) else "no route"
         version = beliefs.table.version if beliefs.table else 0
-        self.metrics.requests.labels(outcome, "no route").inc()
+        self.metrics.requests.labels(outcome, cause).inc()
         self.log.record(
             RequestRejected(
                 request.id,
                 request.host,
                 request.target,
                 outcome,
+                cause,
                 version,
                 beliefs.table_age_s,
             )
@@ -200,6 +224,10 @@
         if task:
             task.cancel()
 
+    @perform.register
+    def _(self, action: CheckServer) -> None:
+        self.runner.check(action.server)
+
     @perform.register
     def _(self, action: WakeAt) -> None:
         if self.timer:
--- a/packages/forwarding/src/fireflyrack/forwarding/state.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/state.py
@@ -11,6 +11,7 @@
 
 from .attempts import Attempt, AttemptOutcome, Completed
 from .choice import Chooser
+from .crashes import CrashBook
 from .health import FleetHealth
 from .requests import Answer, CallerRequest, Cause
 
@@ -49,6 +50,7 @@
     servers_of: Callable[[str], tuple[BackendServer, ...]]
     # Whether this instance lacks processor time.
     strained: Callable[[], bool]
+    crashes: CrashBook = field(default_factory=CrashBook)
 
 
 @dataclass(slots=True)
@@ -119,6 +121,13 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class CheckServer:
+    """Look whether a backend server that broke off still takes connections."""
+
+    server: BackendServer
+
+
 @dataclass(frozen=True, slots=True)
 class WakeAt:
     """Feed Woken at a time; a later WakeAt replaces this one."""
--- /dev/null
+++ b/packages/forwarding/tests/test_reports.py
@@ -0,0 +1,85 @@
+"""Guard against what one instance observes staying unknown to its peers."""
+
+from __future__ import annotations
+
+import random
+
+from forwarding_cases import Case, completed, server
+
+from fireflyrack.forwarding import BudgetLimits, Chooser, FleetHealth, ServerReport
+from fireflyrack.forwarding.choice import choose_server
+from fireflyrack.forwarding.reports import REPORT_MEMORY_S
+
+SERVERS = tuple(server("s", number) for number in range(3))
+SLOW = ServerReport("s-0", 0, 8.0, 0.0)
+FAILING = ServerReport("s-0", 0, 1.0, 0.9)
+
+
+def fleet() -> FleetHealth:
+    fleet = FleetHealth(BudgetLimits(0.2, 50, 10.0))
+    for known in SERVERS:
+        fleet.note_start(known.id, 0, 0.0)
+    return fleet
+
+
+def choose(fleet: FleetHealth, at: float = 1.0) -> str:
+    chooser = Chooser("d0", random.Random(1))
+    return choose_server(chooser, SERVERS, fleet, 100, frozenset(), at).server.id
+
+
+def test_a_server_that_two_peers_find_slow_or_failing_is_avoided():
+    """Guards against each instance of a large fleet meeting a slow server itself."""
+    for report in (SLOW, FAILING):
+        known = fleet()
+        known.take_report("p1", report, 1.0)
+        assert choose(known) == "s-0", "one peer may see its own broken link"
+        known.take_report("p2", report, 1.0)
+        assert choose(known) != "s-0"
+
+
+def test_a_peer_that_confirms_the_own_observation_is_believed():
+    known = fleet()
+    known.server("s-0").note_slowness(12.0, 1.0)
+    own = known.server("s-0").believed_slowness(1.0)
+    known.take_report("p1", ServerReport("s-0", 0, own - 0.5, 0.0), 1.0)
+    assert known.server("s-0").believed_slowness(1.0) == own
+    known.take_report("p2", SLOW, 1.0)
+    assert known.server("s-0").believed_slowness(1.0) == own
+
+
+def test_reports_lose_weight_with_their_age():
+    """Guards against a server that is avoided for ever."""
+    known = fleet()
+    for peer in ("p1", "p2"):
+        known.take_report(peer, SLOW, 1.0)
+    assert choose(known, at=1.0 + REPORT_MEMORY_S) == "s-0"
+    known.take_report("p3", FAILING, 2.0 + REPORT_MEMORY_S)
+    assert set(known.server("s-0").told) == {"p3"}
+
+
+def test_a_report_on_an_earlier_start_is_ignored():
+    known = fleet()
+    known.note_start("s-0", 7, 0.0)
+    for peer in ("p1", "p2"):
+        known.take_report(peer, SLOW, 1.0)
+        known.take_report(peer, ServerReport("unknown", 0, 8.0, 0.0), 1.0)
+    assert choose(known) == "s-0"
+    assert "unknown" not in known.servers
+
+
+def test_only_notable_observations_are_told_once_and_never_those_of_others():
+    """Guards against messages about the usual, and against reports in a circle."""
+    case = Case()
+    case.fleet.note_start("s-0", 0, 0.0)
+    (first,) = case.start()
+    case.end(first, completed(), at=0.02)
+    assert case.fleet.take_reports(0.02) == ()
+    slow = Case()
+    slow.fleet.route("r", 0.1).estimate.record(0.01)
+    (first,) = slow.start()
+    slow.end(first, completed(), at=0.9)
+    (report,) = slow.fleet.take_reports(0.9)
+    assert report.server == first.server.id and report.slowness > 2
+    assert slow.fleet.take_reports(0.9) == ()
+    slow.fleet.take_report("p1", report, 0.9)
+    assert slow.fleet.take_reports(0.9) == ()
--- a/packages/gateway/src/fireflyrack/gateway/instance.py
+++ b/packages/gateway/src/fireflyrack/gateway/instance.py
@@ -29,6 +29,7 @@
     CallerRequest,
     Cause,
     Chooser,
+    CrashBook,
     FleetHealth,
     ForwardingMetrics,
     RequestRunner,
@@ -64,6 +65,7 @@
 from .ports import Ports
 from .registers import ServersByService
 from .settings import GatewaySettings
+from .sharing import Sharing
 
 # Heartbeats of all backend servers change the registers; each reply costs a call.
 SERVERS_GATHER_S = 0.3
@@ -96,13 +98,20 @@
             secrets.token_hex(8),
             settings.failure_domain,
             settings.caller_address,
+            peer_address=settings.peer_address or "",
         )
         self.registry = CollectorRegistry()
         self.metrics = ForwardingMetrics(self.registry)
         self.fleet = FleetHealth(
-            BudgetLimits(settings.retry_ratio, settings.retry_burst)
+            BudgetLimits(
+                settings.retry_ratio,
+                settings.retry_slack,
+                settings.retry_window_s,
+                now(),
+            )
         )
         self.fleet.share_among(UNKNOWN_INSTANCES)
+        self.crashes = CrashBook()
         self.pressure = Machine(
             pressure.Pressure(), pressure.decide, self.follow_strain
         )
@@ -147,6 +156,7 @@
                 Chooser(settings.failure_domain, random.Random()),
                 self.servers.servers_of,
                 lambda: self.pressure.state.strained,
+                self.crashes,
             ),
             ports.transport,
             self.beliefs,
@@ -154,6 +164,17 @@
             self.metrics,
             now,
         )
+        self.sharing = Sharing(
+            settings,
+            log,
+            self.fleet,
+            self.crashes,
+            (self.configurations, self.registers, self.peers),
+            self.peers,
+            self.store_health,
+            lambda: self.informed,
+            now,
+        )
         self.tasks: list[asyncio.Task[None]] = []
         self.replacing: set[asyncio.Task[None]] = set()
         self.on_table: list[Callable[[RoutingTable], None]] = []
@@ -167,6 +188,7 @@
             self.peers.follow,
             self.peers.tick,
             self.register_when_ready,
+            self.sharing.run,
             self.watch_lag,
         ):
             self.tasks.append(asyncio.create_task(self.supervise(work)))
@@ -186,6 +208,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.sharing.close()
 
     @property
     def ready(self) -> bool:
@@ -280,6 +303,8 @@
         """Follow a new or changed backend server."""
         server, previous = change.value, change.previous
         self.servers.changed(change)
+        if previous is not None and previous.incarnation != server.incarnation:
+            self.crashes.note_away(previous.id, previous.incarnation, self.now())
         cold_until = self.now() + server.cold_s
         self.fleet.note_start(server.id, server.incarnation, cold_until)
         if previous is None or (
@@ -300,6 +325,7 @@
     def drop_server(self, gone: EntryGone) -> None:
         """Follow the end of a backend server."""
         self.servers.gone(gone)
+        self.crashes.note_away(gone.value.id, gone.value.incarnation, self.now())
         self.fleet.forget_server(gone.value.id)
 
     def count_instances(self) -> None:
--- a/packages/gateway/src/fireflyrack/gateway/instances.py
+++ b/packages/gateway/src/fireflyrack/gateway/instances.py
@@ -19,6 +19,7 @@
     failure_domain: str
     address: str
     strained: bool = False
+    peer_address: str = ""
 
 
 def instance_key(instance_id: str) -> str:
@@ -34,6 +35,7 @@
         failure_domain=instance.failure_domain,
         address=instance.address,
         strained=instance.strained,
+        peer_address=instance.peer_address,
     )
     return model.model_dump_json().encode()
 
@@ -50,4 +52,5 @@
         model.failure_domain,
         model.address,
         model.strained,
+        model.peer_address,
     )
--- a/packages/gateway/src/fireflyrack/gateway/log_events.py
+++ b/packages/gateway/src/fireflyrack/gateway/log_events.py
@@ -118,3 +118,32 @@
     importance: ClassVar[Importance] = Importance.LIFECYCLE
     where: str
     detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class BeliefsAdopted(LogEvent):
+    """Tell that beliefs of a peer were taken while the store gave none."""
+
+    kind: ClassVar[str] = "peer_beliefs_adopted"
+    importance: ClassVar[Importance] = Importance.LIFECYCLE
+    peer: str
+    items: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServerReportsTaken(LogEvent):
+    """Tell that a peer reported backend servers that are slow or fail."""
+
+    kind: ClassVar[str] = "peer_reports_taken"
+    importance: ClassVar[Importance] = Importance.ROUTINE
+    peer: str
+    servers: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CrashReportsTaken(LogEvent):
+    """Tell that a peer reported requests that crash backend servers."""
+
+    kind: ClassVar[str] = "peer_crash_reports_taken"
+    peer: str
+    reports: int
--- a/packages/gateway/src/fireflyrack/gateway/settings.py
+++ b/packages/gateway/src/fireflyrack/gateway/settings.py
@@ -22,11 +22,16 @@
     # Where the platform asks whether this instance is ready.
     readiness_address: str = Address
     metrics_address: str | None = None
+    # Where peers connect; None turns the links between instances off.
+    peer_address: str | None = None
+    # Peers to ask at the start while the store gives nothing; they may be gone.
+    known_peers: tuple[str, ...] = ()
     # Longest time that callers keep the answer of the directory, in seconds.
     address_ttl_s: float = Field(default=1.0, gt=0)
     # Time from the request to stop until the process is killed, in seconds.
     grace_s: float = Field(default=6.0, gt=1)
-    # Extra attempts for each request, and beyond that, of the whole fleet.
+    # Extra attempts of the whole fleet in any window: for each request, and beyond.
     retry_ratio: float = Field(default=0.1, ge=0)
-    retry_burst: float = Field(default=20.0, ge=0)
+    retry_slack: float = Field(default=20.0, ge=0)
+    retry_window_s: float = Field(default=10.0, gt=0)
     log: EventLogSettings = EventLogSettings()
--- /dev/null
+++ b/packages/gateway/src/fireflyrack/gateway/sharing.py
@@ -0,0 +1,176 @@
+"""What this instance shares with its peers, and what it takes from them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from fireflyrack.core import steady_now
+from fireflyrack.discovery import EntryInstance, PrefixFollower, StoreHealth
+from fireflyrack.forwarding import (
+    ClearedReport,
+    CrashBook,
+    CrashReport,
+    FleetHealth,
+    ServerReport,
+    take_report,
+)
+from fireflyrack.telemetry import EventLog
+
+from .log_events import BeliefsAdopted, CrashReportsTaken, ServerReportsTaken
+from .settings import GatewaySettings
+
+if TYPE_CHECKING:
+    from fireflyrack.peers import News, PeerExchange
+
+# Observations are gathered this long before peers are told.
+GATHER_S = 0.1
+# Pause between two questions to peers while this instance knows nothing.
+ASK_PAUSE_S = 0.1
+
+
+class Sharing:
+    """Tell peers observations and take theirs; run `run` as a task, `close` at the end.
+
+    `informed` tells whether this instance knows enough to serve without asking.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        log: EventLog,
+        fleet: FleetHealth,
+        crashes: CrashBook,
+        followers: tuple[PrefixFollower, ...],
+        peers: PrefixFollower,
+        store_health: StoreHealth,
+        informed: Callable[[], bool],
+        now: Callable[[], float] = steady_now,
+    ) -> None:
+        self.settings = settings
+        self.log = log
+        self.fleet = fleet
+        self.crashes = crashes
+        self.followers = followers
+        self.peers = peers
+        self.store_health = store_health
+        self.informed = informed
+        self.now = now
+        self.exchange: PeerExchange | None = None
+        self.deliveries: dict[str, asyncio.Task[None]] = {}
+        # Number of own crash reports that each peer took, by its address.
+        self.taken: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Share for ever."""
+        if self.settings.peer_address is None:
+            return
+        while not self.informed() and self.store_health.lost_since is None:
+            await asyncio.sleep(ASK_PAUSE_S)
+        # Loading the links takes a tenth of the time to start, and serving goes first.
+        from fireflyrack.peers import News, PeerExchange  # noqa: PLC0415
+
+        self.news_type = News
+
+        self.exchange = PeerExchange(
+            self.settings.id,
+            self.settings.peer_address,
+            self.log,
+            self.now,
+            self.take_news,
+            self.beliefs,
+        )
+        await self.exchange.start()
+        self.peers.on_gone.append(lambda gone: self.forget(gone.value))
+        while not self.informed():
+            await self.ask_peers()
+            await asyncio.sleep(ASK_PAUSE_S)
+        while True:
+            await asyncio.sleep(GATHER_S)
+            self.tell_peers()
+
+    async def close(self) -> None:
+        """End the links."""
+        for delivery in self.deliveries.values():
+            delivery.cancel()
+        await asyncio.gather(*self.deliveries.values(), return_exceptions=True)
+        if self.exchange is not None:
+            await self.exchange.close()
+
+    def forget(self, instance: EntryInstance) -> None:
+        """Close the link to an instance that is gone."""
+        address = instance.peer_address
+        self.taken.pop(address, None)
+        if delivery := self.deliveries.pop(address, None):
+            delivery.cancel()
+        if address:
+            self.deliveries[address] = asyncio.create_task(
+                self.exchange.forget(address)
+            )
+
+    def beliefs(self) -> dict[str, tuple]:
+        """Return the items that this instance uses, by prefix of the store."""
+        return {
+            follower.settings.prefix: tuple(follower.items.values())
+            for follower in self.followers
+            if follower.first_listed_at is not None
+        }
+
+    async def ask_peers(self) -> None:
+        """Ask known peers for their beliefs while the store gives none."""
+        for address in self.settings.known_peers:
+            items = await self.exchange.ask(address)
+            if not items:
+                continue
+            adopted = sum(
+                len(items[follower.settings.prefix])
+                for follower in self.followers
+                if follower.settings.prefix in items
+                and follower.adopt(items[follower.settings.prefix])
+            )
+            self.log.record(BeliefsAdopted(address, adopted))
+            if self.informed():
+                return
+
+    def tell_peers(self) -> None:
+        """Tell peers what was observed since the last time."""
+        reports = self.fleet.take_reports(self.now())
+        for instance in self.peers.table.entries.values():
+            address = instance.peer_address
+            if instance.id == self.settings.id or not address:
+                continue
+            # Only those of the own failure domain prefer the same backend servers and
+            # reach them by the same way; bytes to the others cost money.
+            near = instance.failure_domain == self.settings.failure_domain
+            crashes, number = self.crashes.reports_after(self.taken.get(address, 0))
+            delivery = self.deliveries.get(address)
+            # Reports on servers that wait for a slow peer would be outdated.
+            if (crashes or (near and reports)) and (not delivery or delivery.done()):
+                work = self.deliver(address, reports if near else (), crashes, number)
+                self.deliveries[address] = asyncio.create_task(work)
+
+    async def deliver(
+        self,
+        address: str,
+        servers: tuple[ServerReport, ...],
+        crashes: tuple[CrashReport | ClearedReport, ...],
+        number: int,
+    ) -> None:
+        """Send reports to a peer; those on crashes are sent until it took them."""
+        if await self.exchange.tell(address, self.news_type(servers, crashes)):
+            self.taken[address] = number
+
+    def take_news(self, peer: str, news: News) -> None:
+        """Follow the news of a peer."""
+        at = self.now()
+        for report in news.servers:
+            self.fleet.take_report(peer, report, at)
+        for report in news.requests:
+            take_report(report, self.crashes, at)
+        if news.servers:
+            self.log.record(
+                ServerReportsTaken(peer, tuple(r.server for r in news.servers))
+            )
+        if news.requests:
+            self.log.record(CrashReportsTaken(peer, len(news.requests)))
--- a/packages/links/src/fireflyrack/links/pool.py
+++ b/packages/links/src/fireflyrack/links/pool.py
@@ -203,6 +203,15 @@
                     Failed(LinkFailure(kind, pending.sent, str(error)))
                 )
 
+    async def drop(self, address: str) -> None:
+        """Close the stream to a peer and fail its requests; the next use reopens it."""
+        link = self.links.pop(address, None)
+        if link is None or link.task is None:
+            return
+        link.task.cancel()
+        await asyncio.gather(link.task, return_exceptions=True)
+        self.fail_pending(link, StreamTerminatedError("the link was dropped"))
+
     async def close(self) -> None:
         """Close all streams."""
         tasks = [link.task for link in self.links.values() if link.task]
--- a/packages/links/src/fireflyrack/links/server.py
+++ b/packages/links/src/fireflyrack/links/server.py
@@ -42,6 +42,7 @@
         self.bound_to_stream: set[str] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.server = Server([self])
+        self.listening = False
 
     def register(
         self, kind: str, handler: Handler, cancel_with_stream: bool = False
@@ -59,6 +60,7 @@
         """Listen on an address; raise OSError if it is in use."""
         host, _, port = address.rpartition(":")
         await self.server.start(host, int(port))
+        self.listening = True
 
     async def Exchange(self, stream: Stream[Frame, Frame]) -> None:  # noqa: N802
         """Serve one stream of a peer."""
@@ -142,5 +144,7 @@
 
     async def close(self) -> None:
         """Stop listening and end the streams."""
+        if not self.listening:
+            return
         self.server.close()
         await self.server.wait_closed()
--- /dev/null
+++ b/packages/peers/src/fireflyrack/peers/log_events.py
@@ -0,0 +1,48 @@
+"""Log events of the peers slice."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from fireflyrack.telemetry import Importance, LogEvent
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessageRejected(LogEvent):
+    """Tell that a message of a peer could not be read and was ignored."""
+
+    kind: ClassVar[str] = "peer_message_rejected"
+    peer: str
+    message: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeerUnreachable(LogEvent):
+    """Tell that a peer stopped answering."""
+
+    kind: ClassVar[str] = "dependency_lost"
+    importance: ClassVar[Importance] = Importance.LIFECYCLE
+    dependency: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeerReached(LogEvent):
+    """Tell that a peer answers again."""
+
+    kind: ClassVar[str] = "dependency_regained"
+    importance: ClassVar[Importance] = Importance.LIFECYCLE
+    dependency: str
+    away_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LinksUnavailable(LogEvent):
+    """Tell that this instance takes no links from peers."""
+
+    kind: ClassVar[str] = "peer_links_unavailable"
+    importance: ClassVar[Importance] = Importance.LIFECYCLE
+    address: str
+    reason: str
--- a/packages/telemetry/src/fireflyrack/telemetry/event_log.py
+++ b/packages/telemetry/src/fireflyrack/telemetry/event_log.py
@@ -15,6 +15,7 @@
 from .events import Importance, LogEvent
 from .lines import LineWriter
 
+EVENTS_CHANNEL = "events"
 # Seconds between two lines that tell what was left out.
 SUMMARY_INTERVAL_S = 5.0
 
@@ -63,9 +64,16 @@
             "time": record.time.isoformat() + "Z",
             "level": record.level_name.lower(),
             "instance": self.instance,
-            "event": record.message,
-            **record.extra,
         }
+        if record.channel == EVENTS_CHANNEL:
+            line |= {"event": record.message, **record.extra}
+        else:
+            # Packages that other programs use as well log text.
+            line |= {
+                "event": "message",
+                "channel": record.channel,
+                "text": record.message,
+            }
         text = json.dumps(line, separators=(",", ":"), default=str)
         self.writer.write(text.encode())
 
@@ -87,7 +95,7 @@
         self.writer = writer
         self.handler = JsonLineHandler(writer, instance)
         self.handler.push_application()
-        self.logger = logbook.Logger("events")
+        self.logger = logbook.Logger(EVENTS_CHANNEL)
         at = now()
         rates = {
             Importance.LIFECYCLE: settings.lifecycle_per_s,
--- a/tests/platform/stand_in_server.py
+++ b/tests/platform/stand_in_server.py
@@ -196,3 +196,11 @@
     """Close the connection inside a body with a length."""
     whole = await answer(server, request)
     return Reply(whole.data[:-2], close=True)
+
+
+async def crash(server: StandInServer, request: ReceivedRequest) -> Reply:
+    """Crash on one path: take no connections any more and reset this one."""
+    if not request.target.endswith("/crash"):
+        return await answer(server, request)
+    server.server.close()
+    return Reply(b"", reset=True)
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -369,3 +369,49 @@
     await rack.configure(SEARCH)
     gateway = await rack.start()
     assert await gateway.status("/q/x") == 502
+
+
+async def test_a_request_that_crashes_servers_is_refused_by_all_instances(rack, until):
+    """Guards against one request that takes down server after server."""
+    servers = [
+        await rack.add_server(f"i-{number}", "s", behaviour=behaviours.crash)
+        for number in range(8)
+    ]
+    await rack.configure(ROUTE)
+    gateways = [await rack.start(name) for name in ("g0", "g1")]
+    refused = 0
+    for number in range(12):
+        gateway = gateways[number % 2]
+        async with gateway.get("/a/crash", request_id=f"rid-{number}") as response:
+            refused += response.status == 503
+        # A crash is confirmed by the next attempt that finds the server away.
+        for other in gateways:
+            async with other.get(f"/a/x{number}") as response:
+                assert response.status == 200
+        await asyncio.sleep(0.15)
+    crashed = [s for s in servers if any("crash" in r.target for r in s.requests)]
+    assert len(crashed) <= 5, [s.id for s in crashed]
+    assert refused >= 6
+    for gateway in gateways:
+        async with gateway.get("/a/crash", request_id="rid-last") as response:
+            assert response.status == 503
+            assert float(response.headers["Retry-After"]) > 0
+
+
+async def test_an_instance_that_starts_in_an_outage_asks_its_peers(rack):
+    """Guards against an empty instance that is of no use until the store returns."""
+    await rack.add_server("i-1", "s")
+    await rack.configure(ROUTE)
+    await rack.start("g0")
+    rack.store.faults.refuse_with = 503
+    late = await rack.start("g1")
+    async with late.get("/a/x") as response:
+        assert response.status == 200
+    rack.store.faults.refuse_with = 0
+    await rack.configure(ROUTE, {"prefix": "/new/", "service": "s"})
+    async with asyncio.timeout(5):
+        while True:
+            async with late.get("/new/x") as response:
+                if response.status == 200:
+                    break
+            await asyncio.sleep(0.05)
