Watch the store with one call, and count the caller's way in the cut

Callers on a new connection had spent 8 to 23 ms of an objective of 68 ms before their request was read; the header with what is left of their patience says so.

The cut of a search moves forward by the time that the caller had spent.

--- a/packages/discovery/src/fireflyrack/discovery/__init__.py
+++ b/packages/discovery/src/fireflyrack/discovery/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from .entries import REREGISTRATION_S, EntryChanged, EntryGone, EntryTable
-from .follower import FollowerSettings, PrefixFollower
+from .follower import PrefixFollower
 from .health import StoreHealth
 from .registration import Registration, RegistrationEntry
 from .servers import BackendServer, EntryInstance, ServerState, Unreadable
@@ -17,6 +17,7 @@
     StoreError,
     StoreProblem,
 )
+from .watcher import StoreWatcher
 
 __all__ = [
     "REREGISTRATION_S",
@@ -27,7 +28,6 @@
     "EntryGone",
     "EntryInstance",
     "EntryTable",
-    "FollowerSettings",
     "Item",
     "Lease",
     "Listing",
@@ -39,5 +39,6 @@
     "StoreError",
     "StoreHealth",
     "StoreProblem",
+    "StoreWatcher",
     "Unreadable",
 ]
--- a/packages/discovery/src/fireflyrack/discovery/follower.py
+++ b/packages/discovery/src/fireflyrack/discovery/follower.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any
 
@@ -14,44 +12,28 @@
 from . import entries
 from .entries import EntryChanged, EntryGone, EntryRetained, EntryTable
 from .health import StoreHealth
-from .log_events import EntryBelief, EntryRejected, HistoryLost, StoreCallFailed
+from .log_events import EntryBelief, EntryRejected, StoreCallFailed
 from .servers import Unreadable
-from .store import Deletion, Item, MetadataStore, StoreProblem
-
-# A waiting watch is renewed after this time, so that a dead connection is noticed.
-WATCH_WAIT_S = 4.0
-# Pause after a failed call; the store's rate is shared by the whole fleet.
-RETRY_PAUSE_S = 0.15
-# Steps in which entries whose wait has ended are looked for.
-TICK_S = 0.1
-
-
-@dataclass(frozen=True, slots=True)
-class FollowerSettings:
-    """Declare what to follow and how often."""
-
-    prefix: str
-    # Changes are gathered this long, because each reply of a watch costs a call.
-    gather_s: float
+from .store import Deletion, Item, MetadataStore
 
 
 class PrefixFollower:
-    """List and watch a prefix; keep its entries and call listeners on changes.
+    """Keep the entries below a prefix and call listeners on changes.
 
-    `decode` turns an item into a value or Unreadable. Run `follow` as a task and
-    `tick` as another; `table.entries` holds the values by key.
+    `decode` turns an item into a value or Unreadable. A StoreWatcher lists the prefix
+    and feeds the changes; `table.entries` holds the values by key.
     """
 
     def __init__(
         self,
-        settings: FollowerSettings,
+        prefix: str,
         store: MetadataStore,
         decode: Callable[[Item], Any],
         log: EventLog,
         health: StoreHealth,
         now: Callable[[], float],
     ) -> None:
-        self.settings = settings
+        self.prefix = prefix
         self.store = store
         self.decode = decode
         self.log = log
@@ -82,25 +64,14 @@
         elif self.health.lost_since is not None:
             self.machine.feed(entries.StoreLost(at, self.health.lost_since))
 
-    async def follow(self) -> None:
-        """List once and then follow the changes, for ever."""
-        while True:
-            if self.revision is None:
-                advanced = await self.list_all()
-            else:
-                advanced = await self.watch_once()
-            await asyncio.sleep(self.settings.gather_s if advanced else RETRY_PAUSE_S)
-
-    async def tick(self) -> None:
-        """End the wait for missing entries, for ever."""
-        while True:
-            await asyncio.sleep(TICK_S)
-            if self.table.missing:
-                self.machine.feed(entries.TimePassed(self.now()))
+    def pass_time(self) -> None:
+        """End the wait for missing entries whose time has come."""
+        if self.table.missing:
+            self.machine.feed(entries.TimePassed(self.now()))
 
     async def list_all(self) -> bool:
         """Read all entries; return whether that worked."""
-        outcome = await self.store.list(self.settings.prefix)
+        outcome = await self.store.list(self.prefix)
         if isinstance(outcome, Failed):
             self.note_failure("list", outcome.error)
             # An instance that starts in an outage is better off with old entries
@@ -117,7 +88,7 @@
 
     async def list_stale(self) -> None:
         """Read entries that may be old while the store refuses current ones."""
-        outcome = await self.store.list(self.settings.prefix, stale=True)
+        outcome = await self.store.list(self.prefix, stale=True)
         if isinstance(outcome, Ok):
             self.take_listing(outcome.value.items)
 
@@ -138,24 +109,14 @@
         self.take_listing(items)
         return True
 
-    async def watch_once(self) -> bool:
-        """Wait for changes once; return whether the store answered."""
-        prefix = self.settings.prefix
-        outcome = await self.store.watch(prefix, self.revision, WATCH_WAIT_S)
-        if isinstance(outcome, Failed):
-            if outcome.error.problem is StoreProblem.HISTORY_LOST:
-                self.health.succeeded()
-                self.log.record(HistoryLost(prefix, self.revision))
-                self.revision = None
-                return True
-            self.note_failure("watch", outcome.error)
-            return False
-        self.health.succeeded()
+    def take_changes(self, changes: tuple[Item | Deletion, ...], revision: int) -> None:
+        """Follow the changes up to a revision that lie below the prefix."""
         self.current_at = self.now()
-        for change in outcome.value.changes:
-            self.take_change(change)
-        self.revision = max(self.revision, outcome.value.revision)
-        return True
+        for change in changes:
+            # A watch may start before the listing of this prefix.
+            if change.key.startswith(self.prefix) and change.revision > self.revision:
+                self.take_change(change)
+        self.revision = max(self.revision, revision)
 
     def note_failure(self, call: str, error: Any) -> None:
         """Record a call without result."""
--- a/packages/forwarding/src/fireflyrack/forwarding/health.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/health.py
@@ -48,6 +48,8 @@
 MIN_HEDGE_DELAY_S = 0.004
 # Part of the latency objective after which hedges are sent until latencies are known.
 UNKNOWN_HEDGE_PART = 0.4
+# Part of the latency objective that opening a connection may take from a caller.
+MAX_SPENT_PART = 0.4
 # Part of the latency objective that is the usual latency until it is known.
 UNKNOWN_TYPICAL_PART = 0.2
 
@@ -174,6 +176,8 @@
     estimate: LatencyEstimate = field(
         default_factory=lambda: LatencyEstimate(HEDGE_PERCENTILE)
     )
+    # Longest time that a caller said it waits.
+    patience_s: float = 0.0
 
     @property
     def typical_s(self) -> float:
@@ -188,6 +192,19 @@
             return UNKNOWN_HEDGE_PART * self.objective_s
         return max(MIN_HEDGE_DELAY_S, HEDGE_FACTOR * high)
 
+    def spent_s(self, patience_s: float | None) -> float:
+        """Return the time that a caller had spent before its request was read.
+
+        Callers tell what is left of a time that is the same for all requests of a
+        route. A great difference means another caller or an earlier attempt, which
+        says nothing about the way here.
+        """
+        if patience_s is None:
+            return 0.0
+        self.patience_s = max(self.patience_s, patience_s)
+        spent_s = self.patience_s - patience_s
+        return spent_s if spent_s <= MAX_SPENT_PART * self.objective_s else 0.0
+
 
 class FleetHealth:
     """Hold everything observed; one for each instance."""
--- a/packages/forwarding/src/fireflyrack/forwarding/log_events.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/log_events.py
@@ -69,6 +69,8 @@
     cause: str
     latency_s: float
     objective_s: float
+    # How long the caller said that it waits, -1 if it did not say.
+    patience_s: float
     shards: int
     missing: tuple[str, ...]
     configuration: int
--- a/packages/forwarding/src/fireflyrack/forwarding/runner.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/runner.py
@@ -153,6 +153,7 @@
         missing = tuple(s.service for s in state.shards if s.result is None)
         outcome = type(answer).__name__
         cause = getattr(answer, "cause", None)
+        patience_s = state.request.patience_s
         failed = not isinstance(answer, (Relayed, Merged)) or bool(missing)
         late = latency_s > state.route.objective_s
         self.metrics.note_request(state, answer, latency_s)
@@ -166,6 +167,7 @@
                 cause=cause.value if cause else "",
                 latency_s=latency_s,
                 objective_s=state.route.objective_s,
+                patience_s=-1.0 if patience_s is None else patience_s,
                 shards=len(state.shards),
                 missing=missing,
                 configuration=beliefs.table.version,
@@ -266,6 +268,8 @@
     if request.patience_s is not None:
         wait_s = min(wait_s, request.patience_s)
     reserve_s = min(MAX_CUT_RESERVE_S, CUT_RESERVE_PART * route.objective_s)
+    health = runner.surroundings.fleet.route(route.name, route.objective_s)
+    reserve_s += health.spent_s(request.patience_s)
     services = shards_of(route.target, route, runner.splits)
     shards = tuple(
         ShardProgress(service, max_connections_of(table, service))
--- a/packages/forwarding/tests/test_choice.py
+++ b/packages/forwarding/tests/test_choice.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from forwarding_cases import server
 
 from fireflyrack.forwarding import (
@@ -87,3 +88,12 @@
     observe(NotConnected("refused"), fleet.server("s-0"), USUAL)
     fleet.note_start("s-0", incarnation=7, cold_until=0.0)
     assert choose(fleet) == "s-0"
+
+
+def test_the_time_that_a_caller_spent_before_is_known():
+    """Guards against answers that are cut too late for callers on new connections."""
+    route = fleet_of().route("r", 0.1)
+    assert route.spent_s(None) == 0.0
+    assert route.spent_s(0.3) == 0.0
+    assert route.spent_s(0.28) == pytest.approx(0.02)
+    assert route.spent_s(0.1) == 0.0, "an earlier attempt, or another caller"
--- a/packages/gateway/src/fireflyrack/gateway/instance.py
+++ b/packages/gateway/src/fireflyrack/gateway/instance.py
@@ -16,11 +16,11 @@
     EntryChanged,
     EntryGone,
     EntryInstance,
-    FollowerSettings,
     PrefixFollower,
     Registration,
     RegistrationEntry,
     StoreHealth,
+    StoreWatcher,
 )
 from fireflyrack.forwarding import (
     Answer,
@@ -67,10 +67,6 @@
 from .settings import GatewaySettings
 from .sharing import Sharing
 
-# Heartbeats of all backend servers change the registers; each reply costs a call.
-SERVERS_GATHER_S = 0.3
-CONFIGURATION_GATHER_S = 0.02
-INSTANCES_GATHER_S = 0.1
 # Instances that are assumed to share the limits before the store listed them.
 UNKNOWN_INSTANCES = 8
 LAG_CHECK_S = 0.05
@@ -122,26 +118,23 @@
         self.withdrawn = False
         self.was_ready = False
 
-        def follower(prefix, gather_s, decode) -> PrefixFollower:
-            follow = FollowerSettings(prefix, gather_s)
+        def follower(prefix, decode) -> PrefixFollower:
             return PrefixFollower(
-                follow, ports.store, decode, log, self.store_health, now
+                prefix, ports.store, decode, log, self.store_health, now
             )
 
         self.configurations = follower(
-            ports.configuration_prefix,
-            CONFIGURATION_GATHER_S,
-            ports.decode_configuration,
+            ports.configuration_prefix, ports.decode_configuration
         )
         self.configurations.on_changed.append(self.take_configuration)
-        self.registers = follower(
-            ports.servers_prefix, SERVERS_GATHER_S, ports.decode_server
-        )
+        self.registers = follower(ports.servers_prefix, ports.decode_server)
         self.registers.on_changed.append(self.take_server)
         self.registers.on_gone.append(self.drop_server)
-        self.peers = follower(INSTANCES_PREFIX, INSTANCES_GATHER_S, decode_instance)
+        self.peers = follower(INSTANCES_PREFIX, decode_instance)
         self.peers.on_changed.append(lambda change: self.count_instances())
         self.peers.on_gone.append(lambda gone: self.count_instances())
+        followers = (self.configurations, self.registers, self.peers)
+        self.watcher = StoreWatcher(followers, ports.store, log, self.store_health, now)
         key = instance_key(settings.id)
         self.registration = Registration(
             RegistrationEntry(key, encode_instance(self.own)),
@@ -169,7 +162,7 @@
             log,
             self.fleet,
             self.crashes,
-            (self.configurations, self.registers, self.peers),
+            followers,
             self.peers,
             self.store_health,
             lambda: self.informed,
@@ -182,11 +175,8 @@
     def start(self) -> None:
         """Start the periodic work."""
         for work in (
-            self.configurations.follow,
-            self.registers.follow,
-            self.registers.tick,
-            self.peers.follow,
-            self.peers.tick,
+            self.watcher.follow,
+            self.watcher.tick,
             self.register_when_ready,
             self.sharing.run,
             self.watch_lag,
--- a/packages/gateway/src/fireflyrack/gateway/sharing.py
+++ b/packages/gateway/src/fireflyrack/gateway/sharing.py
@@ -112,7 +112,7 @@
     def beliefs(self) -> dict[str, tuple]:
         """Return the items that this instance uses, by prefix of the store."""
         return {
-            follower.settings.prefix: tuple(follower.items.values())
+            follower.prefix: tuple(follower.items.values())
             for follower in self.followers
             if follower.first_listed_at is not None
         }
@@ -124,10 +124,9 @@
             if not items:
                 continue
             adopted = sum(
-                len(items[follower.settings.prefix])
+                len(items[follower.prefix])
                 for follower in self.followers
-                if follower.settings.prefix in items
-                and follower.adopt(items[follower.settings.prefix])
+                if follower.prefix in items and follower.adopt(items[follower.prefix])
             )
             self.log.record(BeliefsAdopted(address, adopted))
             if self.informed():
