--- a/packages/forwarding/src/fireflyrack/forwarding/choice.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/choice.py
@@ -47,8 +47,13 @@
 
 
 def connection_share(max_connections: int, instances: int) -> int:
-    """Return the connections that one instance may hold to a backend server."""
-    return max(1, int(CONNECTION_PART * max_connections / instances))
+    """Return the connections that one instance may hold to a backend server.
+
+    Without a second one, a slow attempt would keep all others away, so the reserve is
+    given up for it.
+    """
+    share = int(CONNECTION_PART * max_connections / instances)
+    return max(1, share, min(2, max_connections // instances))
 
 
 def choose_server(
--- a/packages/forwarding/src/fireflyrack/forwarding/decisions.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/decisions.py
@@ -262,7 +262,9 @@
     shard.outstanding[attempt.id] = attempt
     hedgeable = state.route.idempotent and shard.attempts < state.route.max_attempts
     single = len(shard.outstanding) == 1
-    shard.hedge_at = at + route.hedge_delay_s if hedgeable and single else None
+    useful_s = state.cut_at - at if state.search else math.inf
+    hedge_at = at + route.hedge_after_s(useful_s)
+    shard.hedge_at = hedge_at if hedgeable and single else None
     fleet.server(choice.server.id).start(
         (id(state), attempt.id), at, route.hedge_delay_s
     )
--- a/packages/forwarding/src/fireflyrack/forwarding/health.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/health.py
@@ -46,6 +46,8 @@
 HEDGE_PERCENTILE = 0.9
 HEDGE_FACTOR = 1.2
 MIN_HEDGE_DELAY_S = 0.004
+# No hedge is sent before this multiple of the median; most attempts end sooner.
+EARLY_HEDGE_FACTOR = 1.5
 # Part of the latency objective after which hedges are sent until latencies are known.
 UNKNOWN_HEDGE_PART = 0.4
 # Part of the latency objective that opening a connection may take from a caller.
@@ -192,18 +194,31 @@
             return UNKNOWN_HEDGE_PART * self.objective_s
         return max(MIN_HEDGE_DELAY_S, HEDGE_FACTOR * high)
 
-    def spent_s(self, patience_s: float | None) -> float:
+    def hedge_after_s(self, useful_s: float) -> float:
+        """Return after which time an attempt is hedged whose result is of use so long.
+
+        A hedge that could hardly return in time is sent a little sooner instead.
+        """
+        high, median = self.estimate.high, self.estimate.median
+        if high is None or median is None:
+            return self.hedge_delay_s
+        last_s = max(EARLY_HEDGE_FACTOR * median, useful_s - high)
+        return max(MIN_HEDGE_DELAY_S, min(self.hedge_delay_s, last_s))
+
+    def spent_s(self, timeout_s: float, patience_s: float | None) -> float:
         """Return the time that a caller had spent before its request was read.
 
         Callers tell what is left of a time that is the same for all requests of a
-        route. A great difference means another caller or an earlier attempt, which
-        says nothing about the way here.
+        route, most often its timeout. A great difference means another caller or an
+        earlier attempt, which says nothing about the way here.
         """
         if patience_s is None:
             return 0.0
         self.patience_s = max(self.patience_s, patience_s)
-        spent_s = self.patience_s - patience_s
-        return spent_s if spent_s <= MAX_SPENT_PART * self.objective_s else 0.0
+        for whole_s in (timeout_s, self.patience_s):
+            if 0 <= whole_s - patience_s <= MAX_SPENT_PART * self.objective_s:
+                return whole_s - patience_s
+        return 0.0
 
 
 class FleetHealth:
--- a/packages/forwarding/tests/test_choice.py
+++ b/packages/forwarding/tests/test_choice.py
@@ -93,7 +93,22 @@
 def test_the_time_that_a_caller_spent_before_is_known():
     """Guards against answers that are cut too late for callers on new connections."""
     route = fleet_of().route("r", 0.1)
-    assert route.spent_s(None) == 0.0
-    assert route.spent_s(0.3) == 0.0
-    assert route.spent_s(0.28) == pytest.approx(0.02)
-    assert route.spent_s(0.1) == 0.0, "an earlier attempt, or another caller"
+    assert route.spent_s(0.3, None) == 0.0
+    assert route.spent_s(0.3, 0.3) == 0.0
+    assert route.spent_s(0.3, 0.28) == pytest.approx(0.02)
+    assert route.spent_s(0.3, 0.1) == 0.0, "an earlier attempt, or another caller"
+    # A timeout of the operator that is no caller's patience says nothing.
+    for timeout_s in (0.2, 0.9):
+        assert route.spent_s(timeout_s, 0.28) == pytest.approx(0.02)
+
+
+def test_a_hedge_is_sent_while_it_can_still_return():
+    """Guards against hedges whose result comes after the cut."""
+    route = fleet_of().route("r", 0.1)
+    assert route.hedge_after_s(0.05) == route.hedge_delay_s
+    for number in range(400):
+        route.estimate.record(0.010 + 0.010 * (number % 10) / 9)
+    usual = route.hedge_delay_s
+    assert route.hedge_after_s(1.0) == usual
+    assert route.hedge_after_s(0.040) < usual
+    assert route.hedge_after_s(0.0) >= 1.4 * route.typical_s
--- /dev/null
+++ b/tests/platform/rack.py
@@ -0,0 +1,211 @@
+"""Gateway processes with the stand-ins of store and backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+
+import aiohttp
+from stand_in_server import StandInServer, answer
+from stand_in_store import StandInStore
+
+from fireflyrack.platform import names
+from fireflyrack.testbed.site import free_address
+
+START_TIMEOUT_S = 10.0
+
+
+def node_file(name: str, store: str, listen: dict, seeds: list[str]) -> dict:
+    """Return the contents of a settings file."""
+    return {
+        "nodeName": name,
+        "zone": "za",
+        "region": "r",
+        "listen": listen,
+        "innerPorts": [7740, 7755],
+        "seeds": seeds,
+        "bounds": {
+            "graceS": 3,
+            "retryBudgetRatio": 0.2,
+            "retrySlack": 52,
+            "ttl_max_s": 5,
+        },
+        "platform": {"address": store},
+    }
+
+
+class Rack:
+    """Run a store, backend servers and gateways; use it as a context manager."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.store = StandInStore(free_address())
+        self.servers: dict[str, StandInServer] = {}
+        self.gateways: dict[str, Gateway] = {}
+        self.version = 0
+        self.stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> Rack:
+        await self.stack.enter_async_context(self.store)
+        self.session = await self.stack.enter_async_context(aiohttp.ClientSession())
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        for gateway in self.gateways.values():
+            await gateway.kill()
+        await self.stack.aclose()
+
+    async def add_server(self, id: str, service: str, **changes) -> StandInServer:
+        """Start a backend server and register it."""
+        behaviour = changes.pop("behaviour", answer)
+        server = StandInServer(id, service, free_address(), behaviour)
+        server.body = changes.pop("body", b"body")
+        server.delay_s = changes.pop("delay_s", 0.0)
+        await self.stack.enter_async_context(server)
+        self.servers[id] = server
+        await self.store.write(f"servers/{id}", server.register(**changes))
+        return server
+
+    async def configure(self, *routes: dict) -> None:
+        """Write the next version of the configuration."""
+        self.version += 1
+        names_used = {
+            name
+            for route in routes
+            for name in (
+                *route.get("gather", ()),
+                *(part["service"] for part in route.get("split", ())),
+                *([route["service"]] if "service" in route else ()),
+            )
+        }
+        configuration = {
+            "version": self.version,
+            "routes": [
+                {
+                    "name": f"route-{number}",
+                    "host": "h.example",
+                    "kind": "safe",
+                    "timeoutMs": 2000,
+                    "sloMs": 300,
+                    "priority": 1,
+                    "maxAttempts": 2,
+                    **route,
+                }
+                for number, route in enumerate(routes)
+            ],
+            "services": [
+                {"name": name, "healthPath": "/health", "maxConns": 40}
+                for name in sorted(names_used)
+            ],
+            "limits": {
+                "maxHeaderBytes": 16384,
+                "maxBodyBytes": 1000,
+                "headerTimeoutMs": 3000,
+                "idleTimeoutMs": 15000,
+            },
+        }
+        await self.store.write("op/config", configuration)
+
+    async def start(self, name: str = "g0", wait: bool = True) -> Gateway:
+        """Start a gateway process."""
+        gateway = Gateway(self, name)
+        self.gateways[name] = gateway
+        await gateway.start(wait)
+        return gateway
+
+
+class Gateway:
+    """Run one gateway process and call it."""
+
+    def __init__(self, rack: Rack, name: str) -> None:
+        self.rack = rack
+        self.name = name
+        addresses = (free_address() for _ in range(4))
+        self.front, self.ready, self.directory, self.control = addresses
+        self.process: asyncio.subprocess.Process | None = None
+        self.output = rack.folder / f"{name}.log"
+
+    async def start(self, wait: bool) -> None:
+        """Start the process and wait until it is ready."""
+        path = self.rack.folder / f"{self.name}.json"
+        listen = {
+            "front": self.front,
+            "ready": self.ready,
+            "directory": self.directory,
+            "control": self.control,
+        }
+        others = [g.control for g in self.rack.gateways.values() if g is not self]
+        settings = node_file(self.name, self.rack.store.address, listen, others)
+        path.write_text(json.dumps(settings))
+        environment = {**os.environ, names.NODE_FILE_VARIABLE: str(path)}
+        with self.output.open("wb") as output:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "fireflyrack.platform",
+                stdout=output,
+                stderr=output,
+                env=environment,
+            )
+        if wait:
+            await self.wait_ready()
+
+    async def wait_ready(self, ready: bool = True) -> None:
+        """Wait until the readiness check says so."""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while await self.is_ready() is not ready:
+                await asyncio.sleep(0.02)
+
+    async def is_ready(self) -> bool:
+        """Return what the readiness check says."""
+        try:
+            url = f"http://{self.ready}/-/ready"
+            async with self.rack.session.get(url) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def addresses(self) -> list[str]:
+        """Return the addresses of the directory."""
+        url = f"http://{self.directory}/-/resolve"
+        async with self.rack.session.get(
+            url, params={"name": "h.example", "zone": "za"}
+        ) as response:
+            return (await response.json())["addrs"] if response.status == 200 else []
+
+    def get(self, path: str, request_id: str = "rid", **options):
+        """Return a request as a context manager."""
+        headers = {
+            "Host": "h.example",
+            names.REQUEST_ID: request_id,
+            names.DEADLINE_MS: "1500",
+            **options.pop("headers", {}),
+        }
+        method = options.pop("method", "GET")
+        url = f"http://{self.front}{path}"
+        return self.rack.session.request(method, url, headers=headers, **options)
+
+    async def status(self, path: str, **options) -> int:
+        """Return the status of a request."""
+        async with self.get(path, **options) as response:
+            return response.status
+
+    def log(self) -> list[dict]:
+        """Return the log lines so far."""
+        return [json.loads(line) for line in self.output.read_text().splitlines()]
+
+    async def stop(self) -> int:
+        """Send SIGTERM and return the exit code."""
+        self.process.send_signal(signal.SIGTERM)
+        return await self.process.wait()
+
+    async def kill(self) -> None:
+        """Kill the process if it still runs."""
+        if self.process and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
