--- a/packages/forwarding/src/fireflyrack/forwarding/decisions.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/decisions.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from fireflyrack.core import Decision
+from fireflyrack.discovery import ServerState
 
 from .answers import final_answer
 from .attempts import (
@@ -45,6 +46,8 @@
 RETRY_AFTER_S = 0.2
 # Without this much time left an extra attempt can't be of use.
 MIN_ATTEMPT_S = 0.005
+# An attempt that is late by this multiple of the hedge delay is not merely queued.
+HANGING_FACTOR = 4.0
 # A hedge that could not be sent is considered again after this part of its delay.
 HEDGE_RECHECK_PART = 0.5
 
@@ -236,7 +239,11 @@
 def cause_without_choice(state: RequestState, shard: ShardProgress) -> Cause:
     """Return why no backend server can take the first attempt of a shard."""
     known = state.surroundings.servers_of(shard.service)
-    return Cause.SATURATED if known else Cause.NO_SERVER
+    if not known:
+        return Cause.NO_SERVER
+    if all(server.state is not ServerState.READY for server in known):
+        return Cause.LEAVING
+    return Cause.SATURATED
 
 
 def least_shards(state: RequestState) -> int:
@@ -299,7 +306,7 @@
     choice = choose(state, shard, at)
     if choice is None:
         reason = "no other backend server"
-    elif fleet.server(choice.server.id).load_now(at) >= max(1, choice.server.slots):
+    elif is_busy(state, choice, at) and not hangs(state, shard, at):
         # Hedges must not add to the queues of an overloaded service.
         reason = "the other backend servers are busy"
     elif at + MIN_ATTEMPT_S >= state.deadline_at:
@@ -317,6 +324,19 @@
     return ()
 
 
+def is_busy(state: RequestState, choice: Choice, at: float) -> bool:
+    """Return whether one more attempt would wait for a slot."""
+    health = state.surroundings.fleet.server(choice.server.id)
+    return health.load_now(at) >= max(1, choice.server.slots)
+
+
+def hangs(state: RequestState, shard: ShardProgress, at: float) -> bool:
+    """Return whether an attempt is so late that its backend server likely failed."""
+    route = state.surroundings.fleet.route(state.route.name, state.route.objective_s)
+    oldest = min(state.sent_at[attempt_id] for attempt_id in shard.outstanding)
+    return at - oldest >= HANGING_FACTOR * route.hedge_delay_s
+
+
 def retry(
     state: RequestState, shard: ShardProgress, at: float, harmless: bool
 ) -> tuple[Any, ...]:
--- a/packages/forwarding/tests/test_decisions.py
+++ b/packages/forwarding/tests/test_decisions.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 from forwarding_cases import CUT_S, DEADLINE_S, Case, completed, record, server
 
@@ -275,3 +277,28 @@
     case.end(first, completed(), 0.5)
     assert case.fleet.server(first.server.id).slowness == 1.0
     assert case.fleet.routes["r"].estimate.total == 0
+
+
+def test_a_hanging_attempt_is_hedged_although_the_others_are_busy():
+    """Guards against a request that waits out its time at a server that hangs."""
+    case = Case()
+    (first,) = case.start()
+    for known in case.servers["s"]:
+        if known.id != first.server.id:
+            for number in range(known.slots):
+                case.fleet.server(known.id).start((1, number), 0.0, 1.0)
+    delay_s = case.fleet.route("r", 0.1).hedge_delay_s
+    assert case.wake(1.1 * delay_s) == []
+    (hedge,) = case.wake(4.1 * delay_s)
+    assert hedge.server.id != first.server.id
+
+
+def test_servers_that_all_leave_are_a_cause_of_their_own():
+    """Guards against a log that blames the connection limit for a drain."""
+    case = Case()
+    case.servers["s"] = tuple(
+        dataclasses.replace(known, state=ServerState.DRAINING)
+        for known in case.servers["s"]
+    )
+    case.start()
+    assert case.answer.cause is Cause.LEAVING
