Keep callers in their failure domain, and gather store changes longer in storms

Cause: at 31 instances three of four callers were sent to another failure domain, 1.4 ms each way and twice that for a new connection; searches that were cut in time at the server (60.5 ms of 69 with the caller's way) came back late.

The directory names the instances of the caller's domain and a quarter as many others, if two or more are near. Gathering grows from 0.1 to 0.5 s while replies follow one another.

--- a/packages/discovery/src/fireflyrack/discovery/watcher.py
+++ b/packages/discovery/src/fireflyrack/discovery/watcher.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import os
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from fireflyrack.core import Failed
 from fireflyrack.telemetry import EventLog
@@ -18,14 +20,35 @@
 # counts for the rate of the whole fleet; the connection's own keep-alive shows
 # earlier whether the store is still there.
 WATCH_WAIT_S = 15.0
-# Changes are gathered this long, because each reply of a watch costs a call.
-GATHER_S = 0.25
+# Changes are gathered this long, because each reply of a watch costs a call; longer
+# while replies follow one another.
+MIN_GATHER_S = 0.1
+MAX_GATHER_S = 0.5
+GATHER_GROWTH = 1.5
+# Without a change for this time the next one is read soon again.
+CALM_S = 1.5
 # Pause after a failed call.
 RETRY_PAUSE_S = 0.15
 # Steps in which entries whose wait has ended are looked for.
 TICK_S = 0.1
 
 
+@dataclass(slots=True)
+class WatchPace:
+    """Hold how long changes are gathered before the next watch."""
+
+    gather_s: float = MIN_GATHER_S
+    replied_at: float = -math.inf
+
+    def pause_s(self, at: float) -> float:
+        """Return the pause after a reply."""
+        calm = at - self.replied_at > CALM_S
+        grown_s = min(MAX_GATHER_S, GATHER_GROWTH * self.gather_s)
+        self.gather_s = MIN_GATHER_S if calm else grown_s
+        self.replied_at = at
+        return self.gather_s
+
+
 class StoreWatcher:
     """List the prefixes of some followers and feed them the changes.
 
@@ -46,6 +69,7 @@
         self.health = health
         self.now = now
         self.prefix = os.path.commonprefix([f.prefix for f in followers])
+        self.pace = WatchPace()
         self.watch: asyncio.Task[bool] | None = None
         health.listeners.append(self.note_store)
 
@@ -58,7 +82,8 @@
         """List once and then follow the changes, for ever."""
         while True:
             advanced = await self.list_missing() and await self.watch_once()
-            await asyncio.sleep(GATHER_S if advanced else RETRY_PAUSE_S)
+            pause_s = self.pace.pause_s(self.now()) if advanced else RETRY_PAUSE_S
+            await asyncio.sleep(pause_s)
 
     async def tick(self) -> None:
         """End the wait for missing entries, for ever."""
--- a/packages/gateway/src/fireflyrack/gateway/directory.py
+++ b/packages/gateway/src/fireflyrack/gateway/directory.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import random
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -10,6 +12,13 @@
 MAX_ADDRESSES = 64
 # Strained instances are left out only if at least this part is not strained.
 MIN_USEFUL_PART = 0.6
+# A caller is sent to the instances of its own failure domain if so many are there:
+# each way between failure domains is part of its latency. One alone would leave it
+# without another address when that one dies.
+MIN_NEAR = 2
+# Farther instances beside the near ones, as a part of these, for callers whose whole
+# failure domain is lost.
+FAR_PART = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,11 +35,9 @@
     own_ready: bool,
     failure_domain: str,
     ttl_s: float,
+    rng: random.Random,
 ) -> Addresses | None:
-    """Return the addresses for a caller in a failure domain, None if there are none.
-
-    Nearer instances come first, where not all fit.
-    """
+    """Return the addresses for a caller in a failure domain, None if there are none."""
     known = {instance.address: instance for instance in instances}
     known.pop(own.address, None)
     if own_ready:
@@ -39,9 +46,11 @@
     # The rest must be able to take the load of those that are left out.
     if len(useful) < MIN_USEFUL_PART * len(known):
         useful = list(known.values())
-    ranked = sorted(
-        useful, key=lambda i: (i.failure_domain != failure_domain, i.address)
-    )
-    if not ranked:
+    near = [i for i in useful if i.failure_domain == failure_domain]
+    far = [i for i in useful if i.failure_domain != failure_domain]
+    if len(near) >= MIN_NEAR:
+        far = rng.sample(far, min(len(far), math.ceil(FAR_PART * len(near))))
+    chosen = [instance.address for instance in (*near, *far)]
+    if not chosen:
         return None
-    return Addresses(tuple(i.address for i in ranked[:MAX_ADDRESSES]), ttl_s)
+    return Addresses(tuple(chosen[:MAX_ADDRESSES]), ttl_s)
--- a/packages/gateway/src/fireflyrack/gateway/instance.py
+++ b/packages/gateway/src/fireflyrack/gateway/instance.py
@@ -96,6 +96,7 @@
             settings.caller_address,
             peer_address=settings.peer_address or "",
         )
+        self.rng = random.Random()
         self.registry = CollectorRegistry()
         self.metrics = ForwardingMetrics(self.registry)
         self.fleet = FleetHealth(
@@ -146,7 +147,7 @@
         self.runner = RequestRunner(
             Surroundings(
                 self.fleet,
-                Chooser(settings.failure_domain, random.Random()),
+                Chooser(settings.failure_domain, self.rng),
                 self.servers.servers_of,
                 lambda: self.pressure.state.strained,
                 self.crashes,
@@ -242,6 +243,7 @@
             self.ready,
             failure_domain,
             self.settings.address_ttl_s,
+            self.rng,
         )
 
     async def register_when_ready(self) -> None:
