Log own crash evidence and tell restarted peers of it again

A peer that was killed and started again keeps its address but not the evidence, so what it took is kept by incarnation. Lost and regained dependencies are one pair of events for the store and for peers.

--- a/packages/discovery/src/fireflyrack/discovery/health.py
+++ b/packages/discovery/src/fireflyrack/discovery/health.py
@@ -4,9 +4,7 @@
 
 from collections.abc import Callable
 
-from fireflyrack.telemetry import EventLog
-
-from .log_events import DependencyLost, DependencyRegained
+from fireflyrack.telemetry import DependencyLost, DependencyRegained, EventLog
 
 
 class StoreHealth:
--- a/packages/discovery/src/fireflyrack/discovery/log_events.py
+++ b/packages/discovery/src/fireflyrack/discovery/log_events.py
@@ -5,27 +5,7 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
-from fireflyrack.telemetry import Importance, LogEvent
-
-
-@dataclass(frozen=True, slots=True)
-class DependencyLost(LogEvent):
-    """Tell that a dependency stopped answering."""
-
-    kind: ClassVar[str] = "dependency_lost"
-    importance: ClassVar[Importance] = Importance.LIFECYCLE
-    dependency: str
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class DependencyRegained(LogEvent):
-    """Tell that a dependency answers again after an absence in seconds."""
-
-    kind: ClassVar[str] = "dependency_regained"
-    importance: ClassVar[Importance] = Importance.LIFECYCLE
-    dependency: str
-    away_s: float
+from fireflyrack.telemetry import LogEvent
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/forwarding/src/fireflyrack/forwarding/__init__.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/__init__.py
@@ -16,7 +16,14 @@
 )
 from .budget import BudgetLimits, RetryBudget
 from .choice import Chooser, connection_share
-from .crashes import ClearedReport, Crash, CrashBook, CrashReport, take_report
+from .crashes import (
+    ClearedReport,
+    Crash,
+    CrashBook,
+    CrashReport,
+    News,
+    take_report,
+)
 from .health import FleetHealth
 from .metrics import ForwardingMetrics
 from .reports import ServerReport
@@ -55,6 +62,7 @@
     "Interrupted",
     "Load",
     "Merged",
+    "News",
     "NoRoute",
     "NotConnected",
     "NotRun",
--- a/packages/forwarding/src/fireflyrack/forwarding/crashes.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/crashes.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from functools import singledispatch
 
+from .reports import ServerReport
 from .requests import CallerRequest
 
 # A request is quarantined after so many crashed backend servers ...
@@ -53,6 +54,14 @@
     fingerprint: str
 
 
+@dataclass(frozen=True, slots=True)
+class News:
+    """Hold what an instance observed since it last told a peer."""
+
+    servers: tuple[ServerReport, ...] = ()
+    requests: tuple[CrashReport | ClearedReport, ...] = ()
+
+
 @dataclass(slots=True)
 class Suspect:
     """Hold the crashes under one fingerprint; updated in place."""
--- a/packages/gateway/src/fireflyrack/gateway/log_events.py
+++ b/packages/gateway/src/fireflyrack/gateway/log_events.py
@@ -147,3 +147,27 @@
     kind: ClassVar[str] = "peer_crash_reports_taken"
     peer: str
     reports: int
+
+
+@dataclass(frozen=True, slots=True)
+class RequestSuspected(LogEvent):
+    """Tell that a backend server crashed while it ran a request."""
+
+    kind: ClassVar[str] = "request_suspected"
+    importance: ClassVar[Importance] = Importance.NOTABLE
+    request: str
+    # What all sendings of the request have in common.
+    fingerprint: str
+    server: str
+    # Crashes known of this request, those that peers told included.
+    crashes: int
+    quarantined: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RequestCleared(LogEvent):
+    """Tell that a suspected request ran well."""
+
+    kind: ClassVar[str] = "request_cleared"
+    importance: ClassVar[Importance] = Importance.NOTABLE
+    fingerprint: str
--- a/packages/gateway/src/fireflyrack/gateway/sharing.py
+++ b/packages/gateway/src/fireflyrack/gateway/sharing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import singledispatch
 from typing import TYPE_CHECKING
 
 from fireflyrack.core import steady_now
@@ -13,16 +14,22 @@
     CrashBook,
     CrashReport,
     FleetHealth,
-    ServerReport,
+    News,
     take_report,
 )
-from fireflyrack.telemetry import EventLog
-
-from .log_events import BeliefsAdopted, CrashReportsTaken, ServerReportsTaken
+from fireflyrack.telemetry import EventLog, LogEvent
+
+from .log_events import (
+    BeliefsAdopted,
+    CrashReportsTaken,
+    RequestCleared,
+    RequestSuspected,
+    ServerReportsTaken,
+)
 from .settings import GatewaySettings
 
 if TYPE_CHECKING:
-    from fireflyrack.peers import News, PeerExchange
+    from fireflyrack.peers import PeerExchange
 
 # Observations are gathered this long before peers are told.
 GATHER_S = 0.1
@@ -59,8 +66,9 @@
         self.now = now
         self.exchange: PeerExchange | None = None
         self.deliveries: dict[str, asyncio.Task[None]] = {}
-        # Number of own crash reports that each peer took, by its address.
+        # Number of own crash reports that each peer took, by its incarnation.
         self.taken: dict[str, int] = {}
+        self.logged = 0
 
     async def run(self) -> None:
         """Share for ever."""
@@ -69,9 +77,7 @@
         while not self.informed() and self.store_health.lost_since is None:
             await asyncio.sleep(ASK_PAUSE_S)
         # Loading the links takes a tenth of the time to start, and serving goes first.
-        from fireflyrack.peers import News, PeerExchange  # noqa: PLC0415
-
-        self.news_type = News
+        from fireflyrack.peers import PeerExchange  # noqa: PLC0415
 
         self.exchange = PeerExchange(
             self.settings.id,
@@ -101,7 +107,7 @@
     def forget(self, instance: EntryInstance) -> None:
         """Close the link to an instance that is gone."""
         address = instance.peer_address
-        self.taken.pop(address, None)
+        self.taken.pop(instance.incarnation, None)
         if delivery := self.deliveries.pop(address, None):
             delivery.cancel()
         if address:
@@ -134,31 +140,35 @@
 
     def tell_peers(self) -> None:
         """Tell peers what was observed since the last time."""
-        reports = self.fleet.take_reports(self.now())
-        for instance in self.peers.table.entries.values():
-            address = instance.peer_address
-            if instance.id == self.settings.id or not address:
+        self.log_crashes()
+        servers = self.fleet.take_reports(self.now())
+        for peer in self.peers.table.entries.values():
+            if peer.id == self.settings.id or not peer.peer_address:
                 continue
             # Only those of the own failure domain prefer the same backend servers and
             # reach them by the same way; bytes to the others cost money.
-            near = instance.failure_domain == self.settings.failure_domain
-            crashes, number = self.crashes.reports_after(self.taken.get(address, 0))
-            delivery = self.deliveries.get(address)
+            near = peer.failure_domain == self.settings.failure_domain
+            reports, number = self.crashes.reports_after(
+                self.taken.get(peer.incarnation, 0)
+            )
+            delivery = self.deliveries.get(peer.peer_address)
             # Reports on servers that wait for a slow peer would be outdated.
-            if (crashes or (near and reports)) and (not delivery or delivery.done()):
-                work = self.deliver(address, reports if near else (), crashes, number)
-                self.deliveries[address] = asyncio.create_task(work)
-
-    async def deliver(
-        self,
-        address: str,
-        servers: tuple[ServerReport, ...],
-        crashes: tuple[CrashReport | ClearedReport, ...],
-        number: int,
-    ) -> None:
-        """Send reports to a peer; those on crashes are sent until it took them."""
-        if await self.exchange.tell(address, self.news_type(servers, crashes)):
-            self.taken[address] = number
+            if (reports or (near and servers)) and (not delivery or delivery.done()):
+                news = News(servers if near else (), reports)
+                self.deliveries[peer.peer_address] = asyncio.create_task(
+                    self.deliver(peer, news, number)
+                )
+
+    async def deliver(self, peer: EntryInstance, news: News, number: int) -> None:
+        """Send news to a peer; reports on crashes are sent until it took them."""
+        if await self.exchange.tell(peer.peer_address, news):
+            self.taken[peer.incarnation] = number
+
+    def log_crashes(self) -> None:
+        """Log the own crash reports that are new."""
+        reports, self.logged = self.crashes.reports_after(self.logged)
+        for report in reports:
+            self.log.record(event_of(report, self.crashes))
 
     def take_news(self, peer: str, news: News) -> None:
         """Follow the news of a peer."""
@@ -173,3 +183,26 @@
             )
         if news.requests:
             self.log.record(CrashReportsTaken(peer, len(news.requests)))
+
+
+@singledispatch
+def event_of(report: object, crashes: CrashBook) -> LogEvent:
+    """Return the log event of an own crash report."""
+    raise TypeError(f"not a report: {type(report).__name__}")
+
+
+@event_of.register
+def _(report: CrashReport, crashes: CrashBook) -> LogEvent:
+    suspect = crashes.suspects.get(report.fingerprint)
+    return RequestSuspected(
+        report.crash.request,
+        report.fingerprint,
+        report.crash.server,
+        len(suspect.crashes) if suspect else 0,
+        suspect is not None and suspect.quarantined,
+    )
+
+
+@event_of.register
+def _(report: ClearedReport, crashes: CrashBook) -> LogEvent:
+    return RequestCleared(report.fingerprint)
--- a/packages/peers/src/fireflyrack/peers/__init__.py
+++ b/packages/peers/src/fireflyrack/peers/__init__.py
@@ -8,6 +8,5 @@
 from __future__ import annotations
 
 from .exchange import PeerExchange
-from .messages import News
 
-__all__ = ["News", "PeerExchange"]
+__all__ = ["PeerExchange"]
--- a/packages/peers/src/fireflyrack/peers/exchange.py
+++ b/packages/peers/src/fireflyrack/peers/exchange.py
@@ -6,18 +6,13 @@
 
 from fireflyrack.core import Failed
 from fireflyrack.discovery import Item
+from fireflyrack.forwarding import News
 from fireflyrack.links import Incoming, LinkPool, LinkServer, LinkSettings, Respond
-from fireflyrack.telemetry import EventLog
+from fireflyrack.telemetry import DependencyLost, DependencyRegained, EventLog
 
-from .log_events import (
-    LinksUnavailable,
-    PeerMessageRejected,
-    PeerReached,
-    PeerUnreachable,
-)
+from .log_events import LinksUnavailable, PeerMessageRejected
 from .messages import (
     InvalidMessage,
-    News,
     decode_beliefs,
     decode_news,
     encode_beliefs,
@@ -95,13 +90,13 @@
             if address not in self.lost_since:
                 self.lost_since[address] = self.now()
                 reason = f"{outcome.error.kind.value} {outcome.error.detail}".strip()
-                self.log.record(PeerUnreachable(f"peer {address}", reason))
+                self.log.record(DependencyLost(f"peer {address}", reason))
             # An open stream may have gone silent; the next use opens another.
             await self.pool.drop(address)
             return None
         since = self.lost_since.pop(address, None)
         if since is not None:
-            self.log.record(PeerReached(f"peer {address}", self.now() - since))
+            self.log.record(DependencyRegained(f"peer {address}", self.now() - since))
         return outcome.value
 
     async def forget(self, address: str) -> None:
--- a/packages/peers/src/fireflyrack/peers/log_events.py
+++ b/packages/peers/src/fireflyrack/peers/log_events.py
@@ -18,26 +18,6 @@
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class PeerUnreachable(LogEvent):
-    """Tell that a peer stopped answering."""
-
-    kind: ClassVar[str] = "dependency_lost"
-    importance: ClassVar[Importance] = Importance.LIFECYCLE
-    dependency: str
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class PeerReached(LogEvent):
-    """Tell that a peer answers again."""
-
-    kind: ClassVar[str] = "dependency_regained"
-    importance: ClassVar[Importance] = Importance.LIFECYCLE
-    dependency: str
-    away_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class LinksUnavailable(LogEvent):
     """Tell that this instance takes no links from peers."""
--- a/packages/peers/src/fireflyrack/peers/messages.py
+++ b/packages/peers/src/fireflyrack/peers/messages.py
@@ -7,19 +7,17 @@
 from pydantic import BaseModel, ConfigDict, ValidationError
 
 from fireflyrack.discovery import Item
-from fireflyrack.forwarding import ClearedReport, Crash, CrashReport, ServerReport
+from fireflyrack.forwarding import (
+    ClearedReport,
+    Crash,
+    CrashReport,
+    News,
+    ServerReport,
+)
 
 MAX_REPORTS = 1000
 
 
-@dataclass(frozen=True, slots=True)
-class News:
-    """Hold what an instance observed since it last told a peer."""
-
-    servers: tuple[ServerReport, ...] = ()
-    requests: tuple[CrashReport | ClearedReport, ...] = ()
-
-
 @dataclass(frozen=True, slots=True)
 class InvalidMessage:
     """Tell that a message of a peer could not be read, and why."""
--- a/packages/peers/tests/test_exchange.py
+++ b/packages/peers/tests/test_exchange.py
@@ -8,8 +8,8 @@
 
 from fireflyrack.core import steady_now
 from fireflyrack.discovery import Item
-from fireflyrack.forwarding import ServerReport
-from fireflyrack.peers import News, PeerExchange
+from fireflyrack.forwarding import News, ServerReport
+from fireflyrack.peers import PeerExchange
 from fireflyrack.testbed.proxy import Fault, FaultProxy
 from fireflyrack.testbed.site import free_address
 
--- a/packages/peers/tests/test_messages.py
+++ b/packages/peers/tests/test_messages.py
@@ -3,8 +3,7 @@
 import pytest
 
 from fireflyrack.discovery import Item
-from fireflyrack.forwarding import ClearedReport, Crash, CrashReport, ServerReport
-from fireflyrack.peers import News
+from fireflyrack.forwarding import ClearedReport, Crash, CrashReport, News, ServerReport
 from fireflyrack.peers.messages import (
     InvalidMessage,
     decode_beliefs,
--- a/packages/telemetry/src/fireflyrack/telemetry/__init__.py
+++ b/packages/telemetry/src/fireflyrack/telemetry/__init__.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from .event_log import EventLog, EventLogSettings
-from .events import Importance, LogEvent
+from .events import DependencyLost, DependencyRegained, Importance, LogEvent
 from .lines import LineWriter
 
 __all__ = [
+    "DependencyLost",
+    "DependencyRegained",
     "EventLog",
     "EventLogSettings",
     "Importance",
--- a/packages/telemetry/src/fireflyrack/telemetry/events.py
+++ b/packages/telemetry/src/fireflyrack/telemetry/events.py
@@ -26,3 +26,23 @@
 
     kind: ClassVar[str] = "event"
     importance: ClassVar[Importance] = Importance.BELIEF
+
+
+@dataclass(frozen=True, slots=True)
+class DependencyLost(LogEvent):
+    """Tell that a dependency stopped answering."""
+
+    kind: ClassVar[str] = "dependency_lost"
+    importance: ClassVar[Importance] = Importance.LIFECYCLE
+    dependency: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class DependencyRegained(LogEvent):
+    """Tell that a dependency answers again after an absence in seconds."""
+
+    kind: ClassVar[str] = "dependency_regained"
+    importance: ClassVar[Importance] = Importance.LIFECYCLE
+    dependency: str
+    away_s: float
