--- a/packages/discovery/src/fireflyrack/discovery/watcher.py
+++ b/packages/discovery/src/fireflyrack/discovery/watcher.py
@@ -27,27 +27,37 @@
 GATHER_GROWTH = 1.5
 # Without a change for this time the next one is read soon again.
 CALM_S = 1.5
-# Pause after a failed call.
-RETRY_PAUSE_S = 0.15
+# Pause after a failed call, doubled with each further one: refused calls count for the
+# rate of the fleet as well.
+MIN_RETRY_PAUSE_S = 0.15
+MAX_RETRY_PAUSE_S = 0.8
 # Steps in which entries whose wait has ended are looked for.
 TICK_S = 0.1
 
 
 @dataclass(slots=True)
 class WatchPace:
-    """Hold how long changes are gathered before the next watch."""
+    """Hold how long to wait between the calls of a watcher."""
 
     gather_s: float = MIN_GATHER_S
     replied_at: float = -math.inf
+    retry_s: float = MIN_RETRY_PAUSE_S
 
-    def pause_s(self, at: float) -> float:
+    def after_reply_s(self, at: float) -> float:
         """Return the pause after a reply."""
+        self.retry_s = MIN_RETRY_PAUSE_S
         calm = at - self.replied_at > CALM_S
         grown_s = min(MAX_GATHER_S, GATHER_GROWTH * self.gather_s)
         self.gather_s = MIN_GATHER_S if calm else grown_s
         self.replied_at = at
         return self.gather_s
 
+    def after_failure_s(self) -> float:
+        """Return the pause after a failed call."""
+        pause_s = self.retry_s
+        self.retry_s = min(MAX_RETRY_PAUSE_S, 2 * pause_s)
+        return pause_s
+
 
 class StoreWatcher:
     """List the prefixes of some followers and feed them the changes.
@@ -82,8 +92,10 @@
         """List once and then follow the changes, for ever."""
         while True:
             advanced = await self.list_missing() and await self.watch_once()
-            pause_s = self.pace.pause_s(self.now()) if advanced else RETRY_PAUSE_S
-            await asyncio.sleep(pause_s)
+            if advanced:
+                await asyncio.sleep(self.pace.after_reply_s(self.now()))
+            else:
+                await asyncio.sleep(self.pace.after_failure_s())
 
     async def tick(self) -> None:
         """End the wait for missing entries, for ever."""
--- a/packages/discovery/tests/test_watcher.py
+++ b/packages/discovery/tests/test_watcher.py
@@ -17,7 +17,13 @@
     StoreProblem,
     StoreWatcher,
 )
-from fireflyrack.discovery.watcher import MAX_GATHER_S, MIN_GATHER_S, WatchPace
+from fireflyrack.discovery.watcher import (
+    MAX_GATHER_S,
+    MAX_RETRY_PAUSE_S,
+    MIN_GATHER_S,
+    MIN_RETRY_PAUSE_S,
+    WatchPace,
+)
 
 
 class Log:
@@ -124,6 +130,15 @@
 def test_changes_are_gathered_longer_while_they_go_on():
     """Guards against a call for each of many changes, and against a slow first one."""
     pace = WatchPace()
-    pauses = [pace.pause_s(at / 10) for at in range(20)]
+    pauses = [pace.after_reply_s(at / 10) for at in range(20)]
     assert pauses[0] == MIN_GATHER_S and pauses[-1] == MAX_GATHER_S
-    assert pace.pause_s(10.0) == MIN_GATHER_S
+    assert pace.after_reply_s(10.0) == MIN_GATHER_S
+
+
+def test_calls_that_fail_are_repeated_ever_later_up_to_a_bound():
+    """Guards against refused calls that use up the rate of the whole fleet."""
+    pace = WatchPace()
+    pauses = [pace.after_failure_s() for _ in range(6)]
+    assert pauses[0] == MIN_RETRY_PAUSE_S and pauses[-1] == MAX_RETRY_PAUSE_S
+    pace.after_reply_s(1.0)
+    assert pace.after_failure_s() == MIN_RETRY_PAUSE_S
--- a/packages/forwarding/src/fireflyrack/forwarding/health.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/health.py
@@ -29,12 +29,9 @@
 
 # Weight of the newest latency in a backend server's average.
 LATENCY_WEIGHT = 0.3
-# Weight of a latency above the average. A search waits for its slowest shard, so one
-# needless detour costs less than a second slow attempt.
-SLOW_WEIGHT = 0.5
 # An average above the usual loses half its excess in this time, so that a backend
 # server that is no longer chosen is tried again.
-SLOWNESS_HALF_LIFE_S = 6.0
+SLOWNESS_HALF_LIFE_S = 3.0
 MAX_SLOWNESS = 30.0
 # Weight of one outcome in the share of failures.
 FAILURE_WEIGHT = 0.25
@@ -147,8 +144,9 @@
     def note_slowness(self, slowness: float, at: float) -> None:
         """Add one latency as a multiple of the usual one."""
         believed = self.slowness_now(at)
-        weight = LATENCY_WEIGHT if slowness < believed else SLOW_WEIGHT
-        self.slowness = believed + weight * (min(slowness, MAX_SLOWNESS) - believed)
+        self.slowness = believed + LATENCY_WEIGHT * (
+            min(slowness, MAX_SLOWNESS) - believed
+        )
         self.slowness_at = at
 
     def note_outcome(self, failed: bool, at: float, weight: float) -> None:
--- a/packages/forwarding/src/fireflyrack/forwarding/reports.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/reports.py
@@ -15,7 +15,7 @@
 # through its own broken link.
 AGREEING_INSTANCES = 2
 # Reports are dropped after this time; their weight has decayed long before.
-REPORT_MEMORY_S = 30.0
+REPORT_MEMORY_S = 15.0
 
 
 @dataclass(frozen=True, slots=True)
