Split the decisions on a request, and ask all known peers at once

Sending and observations have modules of their own, and so have the observations of one backend server and of the fleet; nothing else changes there. An instance that starts without the store asked one peer after another and waited a second for each that was gone.

--- a/packages/forwarding/src/fireflyrack/forwarding/__init__.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/__init__.py
@@ -24,7 +24,7 @@
     News,
     take_report,
 )
-from .health import FleetHealth
+from .fleet import FleetHealth
 from .metrics import ForwardingMetrics
 from .reports import ServerReport
 from .requests import (
--- a/packages/forwarding/src/fireflyrack/forwarding/choice.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/choice.py
@@ -7,7 +7,8 @@
 
 from fireflyrack.discovery import BackendServer, ServerState
 
-from .health import FleetHealth, ServerHealth
+from .fleet import FleetHealth
+from .health import ServerHealth
 
 # Part of a backend server's connections that the instances share; the rest covers
 # connections that are closing and instances that are not known yet.
--- a/packages/forwarding/src/fireflyrack/forwarding/health.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/health.py
@@ -1,4 +1,4 @@
-"""What an instance has observed of backend servers, services and routes."""
+"""What an instance has observed of one backend server."""
 
 from __future__ import annotations
 
@@ -6,8 +6,6 @@
 from dataclasses import dataclass, field
 from functools import singledispatch
 
-from fireflyrack.core import LatencyEstimate
-
 from .attempts import (
     AttemptOutcome,
     Completed,
@@ -17,10 +15,7 @@
     Refused,
     TimedOut,
 )
-from .budget import BudgetLimits, RetryBudget
 from .reports import (
-    NOTABLE_FAILING,
-    NOTABLE_SLOWNESS,
     REPORT_MEMORY_S,
     ServerReport,
     Told,
@@ -42,18 +37,6 @@
 FULL_MEMORY_S = 0.25
 # A load that a response told is used this long.
 LOAD_MEMORY_S = 0.3
-# Percentiles of the latency of attempts.
-HEDGE_PERCENTILE = 0.9
-HEDGE_FACTOR = 1.2
-MIN_HEDGE_DELAY_S = 0.004
-# No hedge is sent before this multiple of the median; most attempts end sooner.
-EARLY_HEDGE_FACTOR = 1.5
-# Part of the latency objective after which hedges are sent until latencies are known.
-UNKNOWN_HEDGE_PART = 0.4
-# Part of the latency objective that opening a connection may take from a caller.
-MAX_SPENT_PART = 0.4
-# Part of the latency objective that is the usual latency until it is known.
-UNKNOWN_TYPICAL_PART = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,137 +153,6 @@
     return failing * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
 
 
-@dataclass(slots=True)
-class RouteHealth:
-    """Hold the latencies of the attempts of one route."""
-
-    objective_s: float
-    estimate: LatencyEstimate = field(
-        default_factory=lambda: LatencyEstimate(HEDGE_PERCENTILE)
-    )
-    # Longest time that a caller said it waits.
-    patience_s: float = 0.0
-
-    @property
-    def typical_s(self) -> float:
-        """Return the usual latency of an attempt in seconds."""
-        return self.estimate.median or UNKNOWN_TYPICAL_PART * self.objective_s
-
-    @property
-    def hedge_delay_s(self) -> float:
-        """Return after which time an attempt is hedged, in seconds."""
-        high = self.estimate.high
-        if high is None:
-            return UNKNOWN_HEDGE_PART * self.objective_s
-        return max(MIN_HEDGE_DELAY_S, HEDGE_FACTOR * high)
-
-    def hedge_after_s(self, useful_s: float) -> float:
-        """Return after which time an attempt is hedged whose result is of use so long.
-
-        A hedge that could hardly return in time is sent a little sooner instead.
-        """
-        high, median = self.estimate.high, self.estimate.median
-        if high is None or median is None:
-            return self.hedge_delay_s
-        last_s = max(EARLY_HEDGE_FACTOR * median, useful_s - high)
-        return max(MIN_HEDGE_DELAY_S, min(self.hedge_delay_s, last_s))
-
-    def spent_s(self, timeout_s: float, patience_s: float | None) -> float:
-        """Return the time that a caller had spent before its request was read.
-
-        Callers tell what is left of a time that is the same for all requests of a
-        route, most often its timeout. A great difference means another caller or an
-        earlier attempt, which says nothing about the way here.
-        """
-        if patience_s is None:
-            return 0.0
-        self.patience_s = max(self.patience_s, patience_s)
-        for whole_s in (timeout_s, self.patience_s):
-            if 0 <= whole_s - patience_s <= MAX_SPENT_PART * self.objective_s:
-                return whole_s - patience_s
-        return 0.0
-
-
-class FleetHealth:
-    """Hold everything observed; one for each instance."""
-
-    def __init__(self, limits: BudgetLimits) -> None:
-        self.limits = limits
-        self.instances = 1
-        self.servers: dict[str, ServerHealth] = {}
-        self.routes: dict[str, RouteHealth] = {}
-        self.budgets: dict[str, RetryBudget] = {}
-        # Backend servers with notable observations that peers were not told.
-        self.notable: set[str] = set()
-
-    def server(self, server_id: str) -> ServerHealth:
-        """Return what was observed of a backend server."""
-        health = self.servers.get(server_id)
-        if health is None:
-            health = self.servers[server_id] = ServerHealth()
-        return health
-
-    def route(self, name: str, objective_s: float) -> RouteHealth:
-        """Return what was observed of a route."""
-        health = self.routes.get(name)
-        if health is None:
-            health = self.routes[name] = RouteHealth(objective_s)
-        return health
-
-    def budget(self, service: str) -> RetryBudget:
-        """Return the budget of a service."""
-        budget = self.budgets.get(service)
-        if budget is None:
-            budget = RetryBudget(self.limits, self.instances)
-            self.budgets[service] = budget
-        return budget
-
-    def note_observed(self, server_id: str, at: float) -> None:
-        """Remember to tell peers of a backend server that is slow or fails."""
-        health = self.server(server_id)
-        slow = health.slowness_now(at) >= NOTABLE_SLOWNESS
-        if slow or health.failing_now(at) >= NOTABLE_FAILING:
-            self.notable.add(server_id)
-
-    def take_reports(self, at: float) -> tuple[ServerReport, ...]:
-        """Return what peers were not told yet."""
-        notable, self.notable = self.notable, set()
-        return tuple(
-            ServerReport(
-                server_id,
-                health.incarnation,
-                health.slowness_now(at),
-                health.failing_now(at),
-            )
-            for server_id in sorted(notable)
-            if (health := self.servers.get(server_id)) is not None
-        )
-
-    def take_report(self, peer: str, report: ServerReport, at: float) -> None:
-        """Follow what a peer observed of a backend server."""
-        health = self.servers.get(report.server)
-        if health is not None and health.incarnation == report.incarnation:
-            health.note_told(peer, report, at)
-
-    def share_among(self, instances: int) -> None:
-        """Follow a change of the number of instances."""
-        self.instances = instances
-        for budget in self.budgets.values():
-            budget.share_among(instances)
-
-    def note_start(self, server_id: str, incarnation: int, cold_until: float) -> None:
-        """Forget what was observed of an earlier start of a backend server."""
-        health = self.server(server_id)
-        if health.incarnation != incarnation:
-            outstanding = health.outstanding
-            health = self.servers[server_id] = ServerHealth(incarnation, outstanding)
-        health.cold_until = cold_until
-
-    def forget_server(self, server_id: str) -> None:
-        """Forget a backend server that is gone."""
-        self.servers.pop(server_id, None)
-
-
 @dataclass(frozen=True, slots=True)
 class Observation:
     """Hold what an ended attempt tells of its backend server."""
--- /dev/null
+++ b/packages/forwarding/src/fireflyrack/forwarding/observations.py
@@ -0,0 +1,127 @@
+"""What the end of an attempt says of its backend server and of its request."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import Any
+
+from .attempts import (
+    Attempt,
+    AttemptOutcome,
+    Completed,
+    Interrupted,
+    NotConnected,
+    Refused,
+)
+from .health import Observation, note_abandoned, observe
+from .log_events import AttemptOver
+from .state import CheckServer, RequestState
+
+
+@singledispatch
+def note_crash(
+    outcome: AttemptOutcome, state: RequestState, attempt: Attempt, at: float
+) -> tuple[Any, ...]:
+    """Record what an outcome says of a request that may crash backend servers."""
+    return ()
+
+
+@note_crash.register
+def _(
+    outcome: Completed, state: RequestState, attempt: Attempt, at: float
+) -> tuple[Any, ...]:
+    if outcome.succeeded:
+        state.surroundings.crashes.note_completed(state.request, at)
+    return ()
+
+
+@note_crash.register
+def _(
+    outcome: Interrupted, state: RequestState, attempt: Attempt, at: float
+) -> tuple[Any, ...]:
+    server = attempt.server
+    crashes = state.surroundings.crashes
+    doubted = crashes.note_interrupted(state.request, server.id, server.incarnation, at)
+    known = state.surroundings.servers_of(server.service)
+    return tuple(CheckServer(s) for s in known if (s.id, s.incarnation) in doubted)
+
+
+@note_crash.register
+def _(
+    outcome: NotConnected, state: RequestState, attempt: Attempt, at: float
+) -> tuple[Any, ...]:
+    server = attempt.server
+    state.surroundings.crashes.note_away(server.id, server.incarnation, at)
+    return ()
+
+
+def observation_of(state: RequestState, attempt: Attempt, at: float) -> Observation:
+    """Return what is needed to judge the latency of an attempt."""
+    route = state.surroundings.fleet.route(state.route.name, state.route.objective_s)
+    return Observation(at, at - state.sent_at[attempt.id], route.typical_s)
+
+
+def observe_attempt(
+    state: RequestState, attempt: Attempt, outcome: AttemptOutcome, at: float
+) -> None:
+    """Update the observations by an ended attempt."""
+    fleet = state.surroundings.fleet
+    health = fleet.server(attempt.server.id)
+    health.end((id(state), attempt.id))
+    observation = observation_of(state, attempt, at)
+    strained = state.surroundings.strained()
+    if strained and isinstance(outcome, Completed) and outcome.succeeded:
+        # The latency includes the own lateness and says nothing about the server.
+        observation = Observation(at, observation.typical_s, observation.typical_s)
+    observe(outcome, health, observation)
+    fleet.note_observed(attempt.server.id, at)
+    if isinstance(outcome, Completed) and outcome.succeeded and not strained:
+        route = fleet.route(state.route.name, state.route.objective_s)
+        route.estimate.record(observation.latency_s)
+
+
+def observe_abandoned(state: RequestState, attempt: Attempt, at: float) -> None:
+    """Update the observations by an attempt that is cancelled."""
+    fleet = state.surroundings.fleet
+    health = fleet.server(attempt.server.id)
+    health.end((id(state), attempt.id))
+    note_abandoned(health, observation_of(state, attempt, at))
+    fleet.note_observed(attempt.server.id, at)
+
+
+def tell_end(
+    state: RequestState, attempt: Attempt, outcome: AttemptOutcome, latency_s: float
+) -> None:
+    """Record the outcome of an attempt for the log."""
+    state.story.append(
+        AttemptOver(
+            request=state.request.id,
+            attempt=attempt.id,
+            server=attempt.server.id,
+            outcome=type(outcome).__name__,
+            detail=describe(outcome),
+            latency_s=latency_s,
+        )
+    )
+
+
+@singledispatch
+def describe(outcome: AttemptOutcome) -> str:
+    """Return an outcome's particulars for the log."""
+    return ""
+
+
+@describe.register
+def _(outcome: Completed) -> str:
+    return str(outcome.status)
+
+
+@describe.register
+def _(outcome: Refused) -> str:
+    return f"{outcome.status} {outcome.reason.value}"
+
+
+@describe.register(NotConnected)
+@describe.register(Interrupted)
+def _(outcome: NotConnected | Interrupted) -> str:
+    return outcome.detail
--- /dev/null
+++ b/packages/forwarding/src/fireflyrack/forwarding/sending.py
@@ -0,0 +1,171 @@
+"""Sending of attempts: first ones, hedges and retries."""
+
+from __future__ import annotations
+
+import enum
+import math
+from typing import Any
+
+from fireflyrack.discovery import ServerState
+
+from .attempts import Attempt
+from .choice import Choice, choose_server
+from .log_events import AttemptSent, ExtraAttemptWithheld
+from .requests import Cause
+from .state import RequestState, Send, ShardProgress
+
+# Without this much time left an extra attempt can't be of use.
+MIN_ATTEMPT_S = 0.005
+# An attempt that is late by this multiple of the hedge delay is not merely queued.
+HANGING_FACTOR = 4.0
+# A hedge that could not be sent is considered again after this part of its delay.
+HEDGE_RECHECK_PART = 0.5
+
+
+class Purpose(enum.Enum):
+    """Name why an attempt is sent."""
+
+    FIRST = "first"
+    HEDGE = "hedge"
+    RETRY = "retry"
+
+
+def choose(state: RequestState, shard: ShardProgress, at: float) -> Choice | None:
+    """Return the backend server for the next attempt of a shard."""
+    surroundings = state.surroundings
+    return choose_server(
+        surroundings.chooser,
+        surroundings.servers_of(shard.service),
+        surroundings.fleet,
+        shard.max_connections,
+        frozenset(shard.tried),
+        at,
+    )
+
+
+def cause_without_choice(state: RequestState, shard: ShardProgress) -> Cause:
+    """Return why no backend server can take the first attempt of a shard."""
+    known = state.surroundings.servers_of(shard.service)
+    if not known:
+        return Cause.NO_SERVER
+    if all(server.state is not ServerState.READY for server in known):
+        return Cause.LEAVING
+    return Cause.SATURATED
+
+
+def send(
+    state: RequestState, number: int, choice: Choice, at: float, purpose: Purpose
+) -> Send:
+    """Record a new attempt and return its action."""
+    shard = state.shards[number]
+    fleet = state.surroundings.fleet
+    attempt = Attempt(len(state.sent_at), number, choice.server, state.deadline_at)
+    route = fleet.route(state.route.name, state.route.objective_s)
+    state.sent_at[attempt.id] = at
+    shard.attempts += 1
+    shard.tried.add(choice.server.id)
+    shard.outstanding[attempt.id] = attempt
+    hedgeable = state.route.idempotent and shard.attempts < state.route.max_attempts
+    single = len(shard.outstanding) == 1
+    useful_s = state.cut_at - at if state.search else math.inf
+    hedge_at = at + route.hedge_after_s(useful_s)
+    shard.hedge_at = hedge_at if hedgeable and single else None
+    fleet.server(choice.server.id).start(
+        (id(state), attempt.id), at, route.hedge_delay_s
+    )
+    state.story.append(
+        AttemptSent(
+            request=state.request.id,
+            attempt=attempt.id,
+            purpose=purpose.value,
+            service=shard.service,
+            server=choice.server.id,
+            after_s=at - state.request.received_at,
+            cost=choice.cost,
+            in_flight=choice.in_flight,
+            slowness=choice.slowness,
+            failing=choice.failing,
+            candidates=choice.candidates,
+            budget=fleet.budget(shard.service).left(at),
+        )
+    )
+    return Send(attempt)
+
+
+def hedge(
+    state: RequestState, number: int, shard: ShardProgress, at: float
+) -> tuple[Any, ...]:
+    """Send a second attempt of a shard whose first one is late, if it is affordable."""
+    shard.hedge_at = None
+    if not shard.open or len(shard.outstanding) > 1:
+        return ()
+    fleet = state.surroundings.fleet
+    reason = None
+    choice = choose(state, shard, at)
+    if choice is None:
+        reason = "no other backend server"
+    elif is_busy(state, choice, at) and not hangs(state, shard, at):
+        # Hedges must not add to the queues of an overloaded service.
+        reason = "the other backend servers are busy"
+    elif at + MIN_ATTEMPT_S >= state.deadline_at:
+        reason = "no time left"
+    elif state.surroundings.strained():
+        # The attempt may be late only because this process is.
+        reason = "this instance lacks processor time"
+    elif not fleet.budget(shard.service).take(at, hedge=True):
+        reason = "no budget"
+    if reason is None:
+        return (send(state, number, choice, at, Purpose.HEDGE),)
+    withhold(state, shard, Purpose.HEDGE, reason, at)
+    route = fleet.route(state.route.name, state.route.objective_s)
+    shard.hedge_at = at + HEDGE_RECHECK_PART * route.hedge_delay_s
+    return ()
+
+
+def is_busy(state: RequestState, choice: Choice, at: float) -> bool:
+    """Return whether one more attempt would wait for a slot."""
+    health = state.surroundings.fleet.server(choice.server.id)
+    return health.load_now(at) >= max(1, choice.server.slots)
+
+
+def hangs(state: RequestState, shard: ShardProgress, at: float) -> bool:
+    """Return whether an attempt is so late that its backend server likely failed."""
+    route = state.surroundings.fleet.route(state.route.name, state.route.objective_s)
+    oldest = min(state.sent_at[attempt_id] for attempt_id in shard.outstanding)
+    return at - oldest >= HANGING_FACTOR * route.hedge_delay_s
+
+
+def retry(
+    state: RequestState, shard: ShardProgress, at: float, harmless: bool
+) -> tuple[Any, ...]:
+    """Send another attempt after a failure, if it does no harm and is affordable."""
+    if shard.outstanding or shard.result is not None or not harmless:
+        return ()
+    if shard.attempts >= state.route.max_attempts:
+        return ()
+    fleet = state.surroundings.fleet
+    reason = None
+    choice = choose(state, shard, at)
+    if choice is None:
+        reason = "no other backend server"
+    elif at + MIN_ATTEMPT_S >= state.deadline_at:
+        reason = "no time left"
+    elif shard.attempts and not fleet.budget(shard.service).take(at, hedge=False):
+        reason = "no budget"
+    if reason is not None:
+        withhold(state, shard, Purpose.RETRY, reason, at)
+        return ()
+    number = state.shards.index(shard)
+    return (send(state, number, choice, at, Purpose.RETRY),)
+
+
+def withhold(
+    state: RequestState, shard: ShardProgress, purpose: Purpose, reason: str, at: float
+) -> None:
+    """Record that an extra attempt is not sent."""
+    budget = state.surroundings.fleet.budget(shard.service).left(at)
+    state.story.append(
+        ExtraAttemptWithheld(
+            state.request.id, purpose.value, shard.service, reason, budget
+        )
+    )
--- a/packages/forwarding/src/fireflyrack/forwarding/state.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/state.py
@@ -12,7 +12,7 @@
 from .attempts import Attempt, AttemptOutcome, Completed
 from .choice import Chooser
 from .crashes import CrashBook
-from .health import FleetHealth
+from .fleet import FleetHealth
 from .requests import Answer, CallerRequest, Cause
 
 
--- a/packages/gateway/src/fireflyrack/gateway/sharing.py
+++ b/packages/gateway/src/fireflyrack/gateway/sharing.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from fireflyrack.core import steady_now
-from fireflyrack.discovery import EntryInstance, PrefixFollower, StoreHealth
+from fireflyrack.discovery import EntryInstance, Item, PrefixFollower, StoreHealth
 from fireflyrack.forwarding import (
     ClearedReport,
     CrashBook,
@@ -115,7 +115,7 @@
                 self.exchange.forget(address)
             )
 
-    def beliefs(self) -> dict[str, tuple]:
+    def beliefs(self) -> dict[str, tuple[Item, ...]]:
         """Return the items that this instance uses, by prefix of the store."""
         return {
             follower.prefix: tuple(follower.items.values())
@@ -125,18 +125,21 @@
 
     async def ask_peers(self) -> None:
         """Ask known peers for their beliefs while the store gives none."""
-        for address in self.settings.known_peers:
-            items = await self.exchange.ask(address)
-            if not items:
-                continue
+        asked = (self.ask(address) for address in self.settings.known_peers)
+        # All at once: the settings may name peers that are gone.
+        for answer in asyncio.as_completed(tuple(asked)):
+            address, items = await answer
             adopted = sum(
                 len(items[follower.prefix])
                 for follower in self.followers
                 if follower.prefix in items and follower.adopt(items[follower.prefix])
             )
-            self.log.record(BeliefsAdopted(address, adopted))
-            if self.informed():
-                return
+            if adopted:
+                self.log.record(BeliefsAdopted(address, adopted))
+
+    async def ask(self, address: str) -> tuple[str, dict[str, tuple[Item, ...]]]:
+        """Return a peer's address and what it believes, nothing if it is away."""
+        return address, await self.exchange.ask(address) or {}
 
     def tell_peers(self) -> None:
         """Tell peers what was observed since the last time."""
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -14,7 +14,16 @@
     r"expectedRev|storeRevision|morePages|serializable|retrySlack|innerPorts)\b"
 )
 # Modules that take decisions; the adapter may only use types and entry points.
-DECIDING = {"decisions", "choice", "health", "budget", "entries", "shutdown"}
+DECIDING = {
+    "decisions",
+    "sending",
+    "crashes",
+    "choice",
+    "health",
+    "budget",
+    "entries",
+    "shutdown",
+}
 
 
 def test_no_platform_name_stands_outside_the_adapter():
