--- a/packages/gateway/src/fireflyrack/gateway/instance.py
+++ b/packages/gateway/src/fireflyrack/gateway/instance.py
@@ -167,7 +167,6 @@
             self.peers,
             self.store_health,
             lambda: self.informed,
-            self.rng,
             now,
         )
         self.tasks: list[asyncio.Task[None]] = []
--- a/packages/gateway/src/fireflyrack/gateway/sharing.py
+++ b/packages/gateway/src/fireflyrack/gateway/sharing.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections.abc import Callable
 from functools import singledispatch
 from typing import TYPE_CHECKING
@@ -33,9 +32,6 @@
 if TYPE_CHECKING:
     from fireflyrack.peers import PeerExchange
 
-# Loading the links blocks the loop for a tenth of the time to start. An instance that
-# can serve does it later, and not at the same time as all others after a power loss.
-LINK_DELAY_S = 1.5
 # Observations are gathered this long before peers are told.
 GATHER_S = 0.1
 # Pause between two questions to peers while this instance knows nothing.
@@ -58,7 +54,6 @@
         peers: PrefixFollower,
         store_health: StoreHealth,
         informed: Callable[[], bool],
-        rng: random.Random,
         now: Callable[[], float] = steady_now,
     ) -> None:
         self.settings = settings
@@ -69,7 +64,6 @@
         self.peers = peers
         self.store_health = store_health
         self.informed = informed
-        self.rng = rng
         self.now = now
         self.exchange: PeerExchange | None = None
         self.deliveries: dict[str, asyncio.Task[None]] = {}
@@ -83,8 +77,7 @@
             return
         while not self.informed() and self.store_health.lost_since is None:
             await asyncio.sleep(ASK_PAUSE_S)
-        if self.informed():
-            await asyncio.sleep(LINK_DELAY_S * self.rng.uniform(1, 2))
+        # Loading the links takes a tenth of the time to start, and serving goes first.
         from fireflyrack.peers import PeerExchange  # noqa: PLC0415
 
         self.exchange = PeerExchange(
--- a/packages/gateway/tests/test_sharing.py
+++ b/packages/gateway/tests/test_sharing.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-import random
 
 import pytest
 
@@ -84,7 +83,6 @@
             self.peers,
             health,
             lambda: bool(self.peers.table.entries),
-            random.Random(1),
         )
         self.exchange = self.sharing.exchange = Exchange()
 
