Judge backend servers by their share of late attempts

Cause: a late attempt is cancelled when its hedge wins, so its latency is only known to be longer than that.

Now each server has a share of late attempts beside slowness and failures, shared with peers; a burst within 0.2 s counts once, so that a short pause does not count as two, and shares up to 0.45 (one late attempt) cost nothing. An instance without processor time blames no server, also for attempts that it cancels.

--- a/packages/forwarding/src/fireflyrack/forwarding/choice.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/choice.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from fireflyrack.discovery import BackendServer, ServerState
 
@@ -23,6 +23,10 @@
 FULL_FACTOR = 4.0
 # A backend server that always fails costs this many times one that never does.
 FAILING_FACTOR = 12.0
+# A backend server that is always late costs this many times one that never is. Up to
+# the share that one late attempt gives, as in a short pause, it costs nothing.
+LATE_FACTOR = 12.0
+USUAL_LATE = 0.45
 # Costs closer than this are equal, and chance decides.
 TIE_PART = 0.02
 
@@ -36,6 +40,7 @@
     in_flight: int
     slowness: float
     failing: float
+    late: float
     candidates: int
 
 
@@ -85,13 +90,12 @@
                 len(health.outstanding),
                 health.believed_slowness(at),
                 health.believed_failing(at),
+                health.believed_late(at),
                 0,
             )
     if best is None:
         return None
-    return Choice(
-        best.server, best.cost, best.in_flight, best.slowness, best.failing, candidates
-    )
+    return replace(best, candidates=candidates)
 
 
 def expected_cost(
@@ -103,6 +107,8 @@
     queue = max(0, load + 1 - slots) / slots
     cost = health.believed_slowness(at) * (1 + queue + BUSY_COST * load / slots)
     cost *= 1 + FAILING_FACTOR * health.believed_failing(at)
+    late = max(0.0, health.believed_late(at) - USUAL_LATE)
+    cost *= 1 + LATE_FACTOR * late / (1 - USUAL_LATE)
     if server.failure_domain != failure_domain:
         cost *= DISTANCE_FACTOR
     if at < health.cold_until:
--- a/packages/forwarding/src/fireflyrack/forwarding/fleet.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/fleet.py
@@ -8,7 +8,7 @@
 
 from .budget import BudgetLimits, RetryBudget
 from .health import ServerHealth
-from .reports import NOTABLE_FAILING, NOTABLE_SLOWNESS, ServerReport
+from .reports import NOTABLE_FAILING, NOTABLE_LATE, NOTABLE_SLOWNESS, ServerReport
 
 # Percentiles of the latency of attempts.
 HEDGE_PERCENTILE = 0.9
@@ -110,10 +110,14 @@
         return budget
 
     def note_observed(self, server_id: str, at: float) -> None:
-        """Remember to tell peers of a backend server that is slow or fails."""
+        """Remember to tell peers of a backend server that is slow, late or fails."""
         health = self.server(server_id)
-        slow = health.slowness_now(at) >= NOTABLE_SLOWNESS
-        if slow or health.failing_now(at) >= NOTABLE_FAILING:
+        notable = (
+            health.slowness_now(at) >= NOTABLE_SLOWNESS
+            or health.failing_now(at) >= NOTABLE_FAILING
+            or health.late_now(at) >= NOTABLE_LATE
+        )
+        if notable:
             self.notable.add(server_id)
 
     def take_reports(self, at: float) -> tuple[ServerReport, ...]:
@@ -125,6 +129,7 @@
                 health.incarnation,
                 health.slowness_now(at),
                 health.failing_now(at),
+                health.late_now(at),
             )
             for server_id in sorted(notable)
             if (health := self.servers.get(server_id)) is not None
--- a/packages/forwarding/src/fireflyrack/forwarding/health.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/health.py
@@ -31,6 +31,11 @@
 # Weight of one outcome in the share of failures.
 FAILURE_WEIGHT = 0.25
 FAILURE_HALF_LIFE_S = 2.5
+# Weight of one attempt in the share of late ones.
+LATE_WEIGHT = 0.4
+LATE_HALF_LIFE_S = 4.0
+# Late attempts sent within this time have one cause, such as a short pause.
+LATE_BURST_S = 0.2
 # A backend server that cannot be reached counts like this many failures.
 UNREACHABLE_WEIGHT = 0.8
 # A refusal because of a full queue is remembered this long.
@@ -59,6 +64,11 @@
     # Moving share of failures.
     failing: float = 0.0
     failing_at: float = -math.inf
+    # Moving share of attempts that were late. A late attempt is cancelled when its
+    # hedge wins, so its latency is only known to be longer than that.
+    late: float = 0.0
+    late_at: float = -math.inf
+    late_sent_at: float = -math.inf
     full_until: float = -math.inf
     # Load told by the last response, and the own attempts in flight at that time.
     load: Load | None = None
@@ -83,7 +93,11 @@
 
     def failing_now(self, at: float) -> float:
         """Return the share of failures, reduced by its age."""
-        return aged_failing(self.failing, at - self.failing_at)
+        return aged_share(self.failing, at - self.failing_at, FAILURE_HALF_LIFE_S)
+
+    def late_now(self, at: float) -> float:
+        """Return the share of late attempts, reduced by its age."""
+        return aged_share(self.late, at - self.late_at, LATE_HALF_LIFE_S)
 
     def believed_slowness(self, at: float) -> float:
         """Return the slowness from own observations and those of peers."""
@@ -98,12 +112,25 @@
         own = self.failing_now(at)
         if not self.told:
             return own
-        told = [aged_failing(t.failing, at - t.at) for t in self.told.values()]
+        told = [
+            aged_share(t.failing, at - t.at, FAILURE_HALF_LIFE_S)
+            for t in self.told.values()
+        ]
+        return agreed(own, told)
+
+    def believed_late(self, at: float) -> float:
+        """Return the share of late attempts from own observations and those told."""
+        own = self.late_now(at)
+        if not self.told:
+            return own
+        told = [
+            aged_share(t.late, at - t.at, LATE_HALF_LIFE_S) for t in self.told.values()
+        ]
         return agreed(own, told)
 
     def note_told(self, peer: str, report: ServerReport, at: float) -> None:
         """Keep the report of a peer and drop outdated ones."""
-        self.told[peer] = Told(report.slowness, report.failing, at)
+        self.told[peer] = Told(report.slowness, report.failing, report.late, at)
         for known, told in tuple(self.told.items()):
             if at > told.at + REPORT_MEMORY_S:
                 del self.told[known]
@@ -138,6 +165,16 @@
         self.failing = believed + weight * (failed - believed)
         self.failing_at = at
 
+    def note_late(self, late: bool, sent_at: float, at: float) -> None:
+        """Add one attempt to the share of late ones."""
+        if late and sent_at < self.late_sent_at + LATE_BURST_S:
+            return
+        believed = self.late_now(at)
+        self.late = believed + LATE_WEIGHT * (late - believed)
+        self.late_at = at
+        if late:
+            self.late_sent_at = sent_at
+
 
 def aged_slowness(slowness: float, age_s: float) -> float:
     """Return a slowness, its excess reduced by its age."""
@@ -146,11 +183,11 @@
     return 1 + (slowness - 1) * 0.5 ** (age_s / SLOWNESS_HALF_LIFE_S)
 
 
-def aged_failing(failing: float, age_s: float) -> float:
-    """Return a share of failures, reduced by its age."""
-    if not failing or age_s <= 0:
-        return failing
-    return failing * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+def aged_share(share: float, age_s: float, half_life_s: float) -> float:
+    """Return a share of failures or late attempts, reduced by its age."""
+    if not share or age_s <= 0:
+        return share
+    return share * 0.5 ** (age_s / half_life_s)
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,6 +197,18 @@
     at: float
     latency_s: float
     typical_s: float
+    # Latency from which the attempt counts as late.
+    late_s: float
+
+    @property
+    def late(self) -> bool:
+        """Return whether the attempt was late."""
+        return self.latency_s >= self.late_s
+
+    @property
+    def sent_at(self) -> float:
+        """Return when the attempt was sent."""
+        return self.at - self.latency_s
 
 
 @singledispatch
@@ -178,6 +227,7 @@
     server.note_outcome(not outcome.succeeded, at, FAILURE_WEIGHT)
     if outcome.succeeded:
         server.note_slowness(observation.latency_s / observation.typical_s, at)
+        server.note_late(observation.late, observation.sent_at, at)
 
 
 @observe.register
@@ -209,6 +259,8 @@
     slowness = observation.latency_s / observation.typical_s
     if slowness > server.slowness_now(observation.at):
         server.note_slowness(slowness, observation.at)
+    if observation.late:
+        server.note_late(True, observation.sent_at, observation.at)
 
 
 def note_load(server: ServerHealth, load: Load | None, at: float) -> None:
--- a/packages/forwarding/src/fireflyrack/forwarding/log_events.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/log_events.py
@@ -24,6 +24,7 @@
     in_flight: int
     slowness: float
     failing: float
+    late: float
     candidates: int
     budget: float
 
--- a/packages/forwarding/src/fireflyrack/forwarding/observations.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/observations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from functools import singledispatch
 from typing import Any
 
@@ -58,7 +59,8 @@
 def observation_of(state: RequestState, attempt: Attempt, at: float) -> Observation:
     """Return what is needed to judge the latency of an attempt."""
     route = state.surroundings.fleet.route(state.route.name, state.route.objective_s)
-    return Observation(at, at - state.sent_at[attempt.id], route.typical_s)
+    latency_s = at - state.sent_at[attempt.id]
+    return Observation(at, latency_s, route.typical_s, route.hedge_delay_s)
 
 
 def observe_attempt(
@@ -72,7 +74,7 @@
     strained = state.surroundings.strained()
     if strained and isinstance(outcome, Completed) and outcome.succeeded:
         # The latency includes the own lateness and says nothing about the server.
-        observation = Observation(at, observation.typical_s, observation.typical_s)
+        observation = replace(observation, latency_s=observation.typical_s)
     observe(outcome, health, observation)
     fleet.note_observed(attempt.server.id, at)
     if isinstance(outcome, Completed) and outcome.succeeded and not strained:
@@ -85,6 +87,9 @@
     fleet = state.surroundings.fleet
     health = fleet.server(attempt.server.id)
     health.end((id(state), attempt.id))
+    if state.surroundings.strained():
+        # The own lateness may be all that the attempt waited for.
+        return
     note_abandoned(health, observation_of(state, attempt, at))
     fleet.note_observed(attempt.server.id, at)
 
--- a/packages/forwarding/src/fireflyrack/forwarding/reports.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/reports.py
@@ -11,6 +11,8 @@
 # Own observations from these on are told to peers. A single pause stays below.
 NOTABLE_SLOWNESS = 1.8
 NOTABLE_FAILING = 0.2
+# Two late attempts after one another reach this, a single pause does not.
+NOTABLE_LATE = 0.5
 # So many instances have to agree, this one included: one may see a backend server
 # through its own broken link.
 AGREEING_INSTANCES = 2
@@ -28,6 +30,8 @@
     slowness: float
     # Share of failures.
     failing: float
+    # Share of late attempts.
+    late: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +40,7 @@
 
     slowness: float
     failing: float
+    late: float
     at: float
 
 
--- a/packages/forwarding/src/fireflyrack/forwarding/sending.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/sending.py
@@ -85,6 +85,7 @@
             in_flight=choice.in_flight,
             slowness=choice.slowness,
             failing=choice.failing,
+            late=choice.late,
             candidates=choice.candidates,
             budget=fleet.budget(shard.service).left(at),
         )
--- a/packages/forwarding/tests/test_choice.py
+++ b/packages/forwarding/tests/test_choice.py
@@ -18,7 +18,7 @@
 
 SERVERS = tuple(server("s", number) for number in range(3))
 CHOOSER = Chooser("d0", random.Random(1))
-USUAL = Observation(1.0, 0.02, 0.02)
+USUAL = Observation(1.0, 0.02, 0.02, 0.05)
 
 
 def choose(fleet: FleetHealth, at: float = 1.0, chooser: Chooser = CHOOSER):
--- a/packages/peers/src/fireflyrack/peers/messages.py
+++ b/packages/peers/src/fireflyrack/peers/messages.py
@@ -49,7 +49,7 @@
 class NewsModel(PeerModel):
     """Validate news; the servers as rows, since there may be many."""
 
-    servers: list[tuple[str, int, float, float]] = []
+    servers: list[tuple[str, int, float, float, float]] = []
     requests: list[CrashModel] = []
 
 
@@ -71,8 +71,14 @@
     """Return the wire form of news."""
     model = NewsModel(
         servers=[
-            (r.server, r.incarnation, round(r.slowness, 2), round(r.failing, 2))
-            for r in news.servers[:MAX_REPORTS]
+            (
+                report.server,
+                report.incarnation,
+                round(report.slowness, 2),
+                round(report.failing, 2),
+                round(report.late, 2),
+            )
+            for report in news.servers[:MAX_REPORTS]
         ],
         requests=[crash_model(report) for report in news.requests[:MAX_REPORTS]],
     )
--- a/packages/peers/tests/test_messages.py
+++ b/packages/peers/tests/test_messages.py
@@ -15,7 +15,7 @@
 
 def test_news_arrive_as_they_were_sent():
     news = News(
-        (ServerReport("i-1", 7, 4.25, 0.5), ServerReport("i-2", 0, 1.0, 1.0)),
+        (ServerReport("i-1", 7, 4.25, 0.5, 0.75), ServerReport("i-2", 0, 1.0, 1.0)),
         (CrashReport("f1", Crash("i-1", 7, "r1")), ClearedReport("f2")),
     )
     assert decode_news(encode_news(news)) == news
