List the store once for all prefixes and gather changes up to 1 s

One listing of the common prefix replaces three at each start and after lost history, and replies that follow one another are up to 1 s apart instead of 0.5 s.

Two tests of listings one after another are replaced: there is one listing now, so that an old change cannot come between, and a refused listing leaves all prefixes as they were. A failed stale listing is logged.

--- a/packages/discovery/src/fireflyrack/discovery/follower.py
+++ b/packages/discovery/src/fireflyrack/discovery/follower.py
@@ -6,39 +6,38 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from fireflyrack.core import Failed, Machine, Ok
+from fireflyrack.core import Machine
 from fireflyrack.telemetry import EventLog
 
 from . import entries
 from .entries import EntryChanged, EntryGone, EntryRetained, EntryTable
 from .health import StoreHealth
-from .log_events import EntryBelief, EntryRejected, StoreCallFailed
+from .log_events import EntryBelief, EntryRejected
 from .servers import Unreadable
-from .store import Deletion, Item, MetadataStore
+from .store import Deletion, Item
 
 
 class PrefixFollower:
     """Keep the entries below a prefix and call listeners on changes.
 
-    `decode` turns an item into a value or Unreadable. A StoreWatcher lists the prefix
-    and feeds the changes; `table.entries` holds the values by key.
+    `decode` turns an item into a value or Unreadable. A StoreWatcher feeds listings
+    and changes; `table.entries` holds the values by key.
     """
 
     def __init__(
         self,
         prefix: str,
-        store: MetadataStore,
         decode: Callable[[Item], Any],
         log: EventLog,
         health: StoreHealth,
         now: Callable[[], float],
     ) -> None:
         self.prefix = prefix
-        self.store = store
         self.decode = decode
         self.log = log
         self.health = health
         self.now = now
+        # Revision of the store up to which the changes are known.
         self.revision: int | None = None
         # Steady time at which the entries were last known to be current.
         self.current_at: float | None = None
@@ -69,34 +68,18 @@
         if self.table.missing:
             self.machine.feed(entries.TimePassed(self.now()))
 
-    async def list_all(self) -> bool:
-        """Read all entries; return whether that worked."""
-        outcome = await self.store.list(self.prefix)
-        if isinstance(outcome, Failed):
-            self.note_failure("list", outcome.error)
-            # An instance that starts in an outage is better off with old entries
-            # than with none.
-            if self.first_listed_at is None:
-                await self.list_stale()
-            return False
-        self.health.succeeded()
-        listing = outcome.value
-        self.revision = listing.revision
+    def take_current(self, items: tuple[Item, ...], revision: int) -> None:
+        """Replace the entries by a listing that is current."""
+        self.revision = revision
         self.current_at = self.now()
-        self.take_listing(listing.items)
-        return True
-
-    async def list_stale(self) -> None:
-        """Read entries that may be old while the store refuses current ones."""
-        outcome = await self.store.list(self.prefix, stale=True)
-        if isinstance(outcome, Ok):
-            self.take_listing(outcome.value.items)
+        self.take_listing(items)
 
     def take_listing(self, items: tuple[Item, ...]) -> None:
-        """Replace the entries by a listing."""
+        """Replace the entries by those of a listing that lie below the prefix."""
         if self.first_listed_at is None:
             self.first_listed_at = self.now()
-        decoded = tuple((item.key, self.value_of(item)) for item in items)
+        below = (item for item in items if item.key.startswith(self.prefix))
+        decoded = tuple((item.key, self.value_of(item)) for item in below)
         self.machine.feed(entries.Listed(self.now(), decoded))
 
     def adopt(self, items: tuple[Item, ...]) -> bool:
@@ -113,15 +96,9 @@
         """Follow the changes up to a revision that lie below the prefix."""
         self.current_at = self.now()
         for change in changes:
-            # A watch may start before the listing of this prefix.
-            if change.key.startswith(self.prefix) and change.revision > self.revision:
+            if change.key.startswith(self.prefix):
                 self.take_change(change)
-        self.revision = max(self.revision, revision)
-
-    def note_failure(self, call: str, error: Any) -> None:
-        """Record a call without result."""
-        self.log.record(StoreCallFailed(call, error.problem.value, error.detail))
-        self.health.failed(f"{call}: {error.problem.value}")
+        self.revision = revision
 
     @singledispatchmethod
     def take_change(self, change: object) -> None:
--- a/packages/discovery/src/fireflyrack/discovery/watcher.py
+++ b/packages/discovery/src/fireflyrack/discovery/watcher.py
@@ -21,9 +21,10 @@
 # earlier whether the store is still there.
 WATCH_WAIT_S = 15.0
 # Changes are gathered this long, because each reply of a watch costs a call; longer
-# while replies follow one another.
+# while replies follow one another. The longest wait leaves two thirds of the shortest
+# bound for a configuration, 3 s, to the store and its outages.
 MIN_GATHER_S = 0.1
-MAX_GATHER_S = 0.5
+MAX_GATHER_S = 1.0
 GATHER_GROWTH = 1.5
 # Without a change for this time the next one is read soon again.
 CALM_S = 1.5
@@ -60,7 +61,7 @@
 
 
 class StoreWatcher:
-    """List the prefixes of some followers and feed them the changes.
+    """List what some followers follow and feed them the changes.
 
     Run `follow` as a task and `tick` as another.
     """
@@ -78,7 +79,10 @@
         self.log = log
         self.health = health
         self.now = now
+        # Each call counts for the rate of the whole fleet, so one serves all prefixes.
         self.prefix = os.path.commonprefix([f.prefix for f in followers])
+        # Revision to watch from, None while a listing is needed.
+        self.revision: int | None = None
         self.pace = WatchPace()
         self.watch: asyncio.Task[bool] | None = None
         health.listeners.append(self.note_store)
@@ -91,7 +95,7 @@
     async def follow(self) -> None:
         """List once and then follow the changes, for ever."""
         while True:
-            advanced = await self.list_missing() and await self.watch_once()
+            advanced = await self.list_once() and await self.watch_once()
             if advanced:
                 await asyncio.sleep(self.pace.after_reply_s(self.now()))
             else:
@@ -104,11 +108,33 @@
             for follower in self.followers:
                 follower.pass_time()
 
-    async def list_missing(self) -> bool:
-        """List what has no revision to watch from; return whether that worked."""
-        missing = [f for f in self.followers if f.revision is None]
-        listed = await asyncio.gather(*(f.list_all() for f in missing))
-        return all(listed)
+    async def list_once(self) -> bool:
+        """List all entries unless changes can be watched; return whether they can."""
+        if self.revision is not None:
+            return True
+        outcome = await self.store.list(self.prefix)
+        if isinstance(outcome, Failed):
+            self.note_failure("list", outcome.error)
+            # An instance that starts in an outage is better off with old entries
+            # than with none.
+            if any(follower.first_listed_at is None for follower in self.followers):
+                await self.list_stale()
+            return False
+        self.health.succeeded()
+        self.revision = outcome.value.revision
+        for follower in self.followers:
+            follower.take_current(outcome.value.items, self.revision)
+        return True
+
+    async def list_stale(self) -> None:
+        """Read entries that may be old while the store refuses current ones."""
+        outcome = await self.store.list(self.prefix, stale=True)
+        if isinstance(outcome, Failed):
+            self.note_failure("stale list", outcome.error)
+            return
+        for follower in self.followers:
+            if follower.first_listed_at is None:
+                follower.take_listing(outcome.value.items)
 
     async def watch_once(self) -> bool:
         """Wait for changes once; return whether the store answered."""
@@ -125,26 +151,29 @@
 
     async def wait_for_changes(self) -> bool:
         """Make one call and feed what it gives."""
-        after = min(follower.revision for follower in self.followers)
-        outcome = await self.store.watch(self.prefix, after, WATCH_WAIT_S)
+        outcome = await self.store.watch(self.prefix, self.revision, WATCH_WAIT_S)
         if isinstance(outcome, Failed):
-            return self.take_failure(outcome.error, after)
+            return self.take_failure(outcome.error)
         # Not cancelled by what this reply tells.
         self.watch = None
         self.health.succeeded()
+        self.revision = outcome.value.revision
         for follower in self.followers:
-            follower.take_changes(outcome.value.changes, outcome.value.revision)
+            follower.take_changes(outcome.value.changes, self.revision)
         return True
 
-    def take_failure(self, error: StoreError, after: int) -> bool:
+    def take_failure(self, error: StoreError) -> bool:
         """Follow a watch without result; return whether the store answered."""
         if error.problem is StoreProblem.HISTORY_LOST:
             self.watch = None
             self.health.succeeded()
-            self.log.record(HistoryLost(self.prefix, after))
-            for follower in self.followers:
-                follower.revision = None
+            self.log.record(HistoryLost(self.prefix, self.revision))
+            self.revision = None
             return True
-        self.log.record(StoreCallFailed("watch", error.problem.value, error.detail))
-        self.health.failed(f"watch: {error.problem.value}")
+        self.note_failure("watch", error)
         return False
+
+    def note_failure(self, call: str, error: StoreError) -> None:
+        """Record a call without result."""
+        self.log.record(StoreCallFailed(call, error.problem.value, error.detail))
+        self.health.failed(f"{call}: {error.problem.value}")
--- a/packages/discovery/tests/test_watcher.py
+++ b/packages/discovery/tests/test_watcher.py
@@ -35,15 +35,16 @@
     """Answer calls from a script; a watch without a script waits."""
 
     def __init__(self) -> None:
-        self.listings = {
-            "a/": Listing((Item("a/1", b"1", 5),), 5),
-            "b/": Listing((), 9),
-        }
+        # None while the store refuses to list.
+        self.listing = Listing((Item("a/1", b"1", 5), Item("c/1", b"1", 5)), 9)
+        self.stale = Listing((Item("a/1", b"0", 2),), 3)
+        self.listed = []
         self.watches = []
         self.asked = []
 
     async def list(self, prefix, stale=False):
-        listing = self.listings.get(prefix)
+        self.listed.append((prefix, stale))
+        listing = self.stale if stale else self.listing
         if listing is None:
             return Failed(StoreError(StoreProblem.UNAVAILABLE))
         return Ok(listing)
@@ -60,7 +61,7 @@
     log, store = Log(), Store()
     health = StoreHealth(log, steady_now)
     followers = tuple(
-        PrefixFollower(prefix, store, lambda item: item.value, log, health, steady_now)
+        PrefixFollower(prefix, lambda item: item.value, log, health, steady_now)
         for prefix in ("a/", "b/")
     )
     watcher = StoreWatcher(followers, store, log, health, steady_now)
@@ -77,45 +78,59 @@
             await asyncio.sleep(0.01)
 
 
-async def test_one_watch_feeds_all_followers(world):
-    """Guards against a change that reaches the wrong prefix or none."""
+async def test_one_listing_and_one_watch_feed_all_followers(world):
+    """Guards against an entry that reaches the wrong prefix, and a call for each."""
     store, (a, b), _ = world
+    await eventually(lambda: b.revision == 9)
+    assert (a.table.entries, b.table.entries) == ({"a/1": b"1"}, {})
     changes = (Item("a/2", b"2", 10), Item("b/1", b"3", 11), Deletion("a/1", 12))
     store.watches.append(Ok(Changes(changes, 12)))
     await eventually(lambda: b.revision == 12)
     assert a.table.entries == {"a/2": b"2"}
     assert b.table.entries == {"b/1": b"3"}
     await eventually(lambda: len(store.asked) == 2)
-    assert [after for _, after in store.asked] == [5, 12]
+    assert [after for _, after in store.asked] == [9, 12]
+    assert store.listed == [("", False)]
 
 
-async def test_changes_before_a_listing_do_not_undo_it(world):
-    """Guards against an old value where one prefix was listed after another."""
-    store, (_, b), _ = world
-    store.watches.append(Ok(Changes((Item("b/1", b"old", 7),), 12)))
-    await eventually(lambda: b.revision == 12)
-    assert b.table.entries == {}
+async def test_stale_entries_serve_until_the_first_listing_only(world):
+    """Guards against an empty start, and against old entries that undo newer ones."""
+    store, (a, b), health = world
+    await eventually(lambda: b.revision == 9)
+    store.listing = None
+    store.watches.append(Failed(StoreError(StoreProblem.HISTORY_LOST)))
+    await eventually(lambda: len(store.listed) > 2)
+    assert a.table.entries == {"a/1": b"1"}
+    assert ("", True) not in store.listed
+    empty = tuple(
+        PrefixFollower(prefix, lambda item: item.value, Log(), health, steady_now)
+        for prefix in ("a/", "b/")
+    )
+    watcher = StoreWatcher(empty, store, Log(), health, steady_now)
+    assert not await watcher.list_once()
+    assert empty[0].table.entries == {"a/1": b"0"}
+    assert empty[0].revision is None, "stale entries are no base for changes"
 
 
 async def test_lost_history_lists_all_prefixes_again(world):
     store, (a, b), _ = world
     store.watches.append(Failed(StoreError(StoreProblem.HISTORY_LOST)))
-    store.listings["a/"] = Listing((Item("a/9", b"9", 20),), 20)
-    store.listings["b/"] = Listing((), 21)
-    await eventually(lambda: a.revision == 20 and b.revision == 21)
-    assert a.table.entries == {"a/9": b"9"}
+    store.listing = Listing((Item("a/9", b"9", 20), Item("b/1", b"1", 21)), 21)
+    await eventually(lambda: a.revision == 21 and b.revision == 21)
+    assert (a.table.entries, b.table.entries) == ({"a/9": b"9"}, {"b/1": b"1"})
 
 
-async def test_a_prefix_that_cannot_be_listed_is_tried_again(world):
+async def test_entries_that_cannot_be_listed_are_listed_later(world):
+    """Guards against an instance that stops following after a refused listing."""
     store, (a, b), _ = world
     await eventually(lambda: b.revision == 9)
-    listing = store.listings.pop("b/")
-    store.listings["a/"] = Listing((), 20)
+    store.listing = None
     store.watches.append(Failed(StoreError(StoreProblem.HISTORY_LOST)))
-    await eventually(lambda: a.revision == 20)
-    assert b.revision is None
-    store.listings["b/"] = listing
-    await eventually(lambda: b.revision == 9)
+    await eventually(lambda: len(store.listed) > 2)
+    assert a.table.entries == {"a/1": b"1"}, "what was known stays in use"
+    store.listing = Listing((), 20)
+    await eventually(lambda: a.revision == b.revision == 20)
+    assert a.table.entries == {}
 
 
 async def test_an_outage_ends_a_watch_that_waits(world):
--- a/packages/gateway/src/fireflyrack/gateway/instance.py
+++ b/packages/gateway/src/fireflyrack/gateway/instance.py
@@ -114,15 +114,15 @@
         )
         self.routing = RoutingInForce()
         self.routing_at = 0.0
+        # Services that routes of the configuration in force use.
+        self.services: tuple[str, ...] = ()
         self.servers = ServersByService()
         self.store_health = StoreHealth(log, now)
         self.withdrawn = False
         self.was_ready = False
 
         def follower(prefix, decode) -> PrefixFollower:
-            return PrefixFollower(
-                prefix, ports.store, decode, log, self.store_health, now
-            )
+            return PrefixFollower(prefix, decode, log, self.store_health, now)
 
         self.configurations = follower(
             ports.configuration_prefix, ports.decode_configuration
@@ -218,11 +218,7 @@
             return False
         if self.now() >= self.registers.first_listed_at + REREGISTRATION_S:
             return True
-        return all(
-            self.servers.servers_of(service)
-            for route in table.routes
-            for service in services_of(route.target)
-        )
+        return all(self.servers.servers_of(service) for service in self.services)
 
     def beliefs(self) -> Beliefs:
         """Return what is believed now, with its ages."""
@@ -278,6 +274,8 @@
             self.log.record(event)
             return
         self.routing_at = self.now()
+        used = {s for route in table.routes for s in services_of(route.target)}
+        self.services = tuple(used)
         self.metrics.configuration_version.set(table.version)
         self.log.record(
             RoutingAdopted(
--- a/packages/gateway/tests/test_sharing.py
+++ b/packages/gateway/tests/test_sharing.py
@@ -61,7 +61,7 @@
         self.log = Log()
         health = StoreHealth(self.log, steady_now)
         self.peers = PrefixFollower(
-            "e/", None, lambda item: item.value, self.log, health, steady_now
+            "e/", lambda item: item.value, self.log, health, steady_now
         )
         self.fleet = FleetHealth(BudgetLimits(0.2, 50, 10.0))
         self.crashes = CrashBook()
