Name a missing setting and what it must hold

A missing key showed the whole mapping that lacks it as its value, since that is the input which the validation reports. It now says only that the key is missing and what it must hold, from the types of the models.

--- a/packages/core/src/fireflyrack/core/errors.py
+++ b/packages/core/src/fireflyrack/core/errors.py
@@ -18,9 +18,16 @@
     """Describe one wrong key of a settings file."""
 
     key: str
-    value: str
+    # None for a key that is missing.
+    value: str | None
     reason: str
 
+    def __str__(self) -> str:
+        """Return the problem in one line."""
+        if self.value is None:
+            return f"{self.key}: {self.reason}"
+        return f"{self.key} = {self.value}: {self.reason}"
+
 
 class SettingsError(FireflyrackError):
     """Report every wrong key of a settings file at once."""
@@ -28,5 +35,5 @@
     def __init__(self, source: str, problems: tuple[SettingsProblem, ...]) -> None:
         self.source = source
         self.problems = problems
-        lines = [f"{source}: {p.key} = {p.value}: {p.reason}" for p in problems]
+        lines = [f"{source}: {problem}" for problem in problems]
         super().__init__("\n".join(lines))
--- a/packages/core/src/fireflyrack/core/settings.py
+++ b/packages/core/src/fireflyrack/core/settings.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from pathlib import Path
-from typing import Any, TypeVar
+from types import NoneType
+from typing import Any, TypeVar, get_args
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 
@@ -12,6 +14,12 @@
 Model = TypeVar("Model", bound=BaseModel)
 
 MAX_SHOWN_VALUE = 80
+TYPE_WORDS = {
+    str: "text",
+    int: "a whole number",
+    float: "a number",
+    bool: "true or false",
+}
 
 
 class SettingsModel(BaseModel):
@@ -47,19 +55,45 @@
     try:
         return model.model_validate({} if data is None else data)
     except ValidationError as error:
-        raise SettingsError(source, describe_problems(error)) from error
+        raise SettingsError(source, describe_problems(error, model)) from error
 
 
-def describe_problems(error: ValidationError) -> tuple[SettingsProblem, ...]:
+def describe_problems(
+    error: ValidationError, model: type[BaseModel]
+) -> tuple[SettingsProblem, ...]:
     """Return one problem for each wrong key that pydantic found."""
-    return tuple(
-        SettingsProblem(
-            key=".".join(str(part) for part in detail["loc"]) or "(file)",
-            value=shorten(detail.get("input")),
-            reason=detail["msg"],
-        )
-        for detail in error.errors()
-    )
+    return tuple(describe_problem(detail, model) for detail in error.errors())
+
+
+def describe_problem(
+    detail: Mapping[str, Any], model: type[BaseModel]
+) -> SettingsProblem:
+    """Return the problem of one key."""
+    key = ".".join(str(part) for part in detail["loc"]) or "(file)"
+    if detail["type"] == "missing":
+        # The input that pydantic reports is the whole mapping that lacks the key.
+        reason = f"missing, it must hold {expected_at(model, detail['loc'])}"
+        return SettingsProblem(key, None, reason)
+    return SettingsProblem(key, shorten(detail.get("input")), detail["msg"])
+
+
+def expected_at(model: Any, path: tuple[int | str, ...]) -> str:
+    """Return what a key holds by the types of the models."""
+    for part in path:
+        # An entry of a list or of a mapping, or a value that may be absent.
+        while not hasattr(model, "model_fields") and get_args(model):
+            held = [kind for kind in get_args(model) if kind not in (NoneType, ...)]
+            model = held[-1]
+        if isinstance(part, int):
+            continue
+        fields = getattr(model, "model_fields", {})
+        named = {field.alias or name: field for name, field in fields.items()}
+        if part in named or part in fields:
+            model = (named.get(part) or fields.get(part)).annotation
+    if hasattr(model, "model_fields"):
+        keys = (field.alias or name for name, field in model.model_fields.items())
+        return f"a mapping of {', '.join(keys)}"
+    return TYPE_WORDS.get(model, "a list" if get_args(model) else "a value")
 
 
 def shorten(value: Any) -> str:
--- a/packages/core/tests/test_settings.py
+++ b/packages/core/tests/test_settings.py
@@ -24,6 +24,33 @@
     assert "65535" in str(caught.value)
 
 
+class Rack(SettingsModel):
+    """Hold settings below others."""
+
+    samples: tuple[Sample, ...]
+    first: Sample | None = None
+    rows: dict[str, Sample] = {}
+
+
+@pytest.mark.parametrize(
+    ("text", "line"),
+    [
+        ("samples: [{port: 1}]", "samples.0.name: missing, it must hold text"),
+        (
+            "{samples: [], first: {name: a}}",
+            "first.port: missing, it must hold a whole",
+        ),
+        ("{samples: [], rows: {r: {name: a}}}", "rows.r.port: missing, it must hold a"),
+        ("first: {name: a, port: 1}", "samples: missing, it must hold a list"),
+    ],
+)
+def test_a_missing_key_is_told_without_the_mapping_that_lacks_it(text, line):
+    """Guards against a line that shows a whole mapping as the value of one key."""
+    with pytest.raises(SettingsError) as caught:
+        parse_settings(text, Rack, "rack.yaml")
+    assert str(caught.value).startswith(f"rack.yaml: {line}")
+
+
 @pytest.mark.parametrize("text", ["a: [", "- 1\n", "", "just text"])
 def test_a_file_that_is_no_mapping_is_reported(text):
     with pytest.raises(SettingsError, match=r"sample\.yaml"):
