--- a/tests/platform/rack.py
+++ b/tests/platform/rack.py
@@ -155,6 +155,19 @@
         if wait:
             await self.wait_ready()
 
+    def heeds_reload(self) -> bool:
+        """Return whether SIGHUP would not end the process.
+
+        Until the interpreter runs the first lines of the program nothing can be done
+        against that.
+        """
+        if self.process is None or self.process.returncode is not None:
+            return False
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        masks = dict(line.split(":\t", 1) for line in status.splitlines())
+        taken = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
+        return bool(taken >> signal.SIGHUP - 1 & 1)
+
     async def wait_ready(self, ready: bool = True) -> None:
         """Wait until the readiness check says so."""
         async with asyncio.timeout(START_TIMEOUT_S):
