--- a/packages/search/src/fireflyrack/search/canary.py
+++ b/packages/search/src/fireflyrack/search/canary.py
@@ -9,7 +9,7 @@
 
 # The second one shows whether the first crashed under the search or by chance.
 MAX_CANARIES = 2
-# About 10 MB of fingerprints.
+# 17 MB when full.
 MAX_PROVEN = 100_000
 
 
