Give processes under test ports that outgoing connections cannot take

Addresses were asked of the system, which gives ports out of the range of outgoing connections; between the question and the binding of the started process, any connection of this or another suite may take the port, or a second suite may be given one that the first has just left.

--- a/packages/entry/tests/test_requests.py
+++ b/packages/entry/tests/test_requests.py
@@ -1,7 +1,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 
 import pytest
 from prometheus_client import CollectorRegistry
@@ -13,6 +12,7 @@
 from fireflyrack.links import LinkPool, LinkServer, LinkSettings
 from fireflyrack.membership import Member
 from fireflyrack.requests import Lost, NotSent, Ran, RequestSettings, UnknownCause
+from fireflyrack.testbed.ports import free_address
 
 NAMES = ("e0", "e1", "e2")
 SETTINGS = RequestSettings(answer_margin_s=0.2, ask_period_s=0.05, settle_for_s=5)
@@ -52,11 +52,8 @@
         self.spreaders = {}
 
     def member(self, name):
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            address = f"127.0.0.1:{probe.getsockname()[1]}"
         incarnation = f"a{name[1:]}"
-        return Member(name, incarnation, "d", "127.0.0.1:1", address)
+        return Member(name, incarnation, "d", "127.0.0.1:1", free_address())
 
     def find_owner(self, backend_server):
         return self.members[f"e{backend_server[1:]}"]
--- a/packages/gateway/tests/test_serving.py
+++ b/packages/gateway/tests/test_serving.py
@@ -9,7 +9,7 @@
 import pytest
 
 from fireflyrack.gateway import HttpServer
-from fireflyrack.testbed.site import free_address
+from fireflyrack.testbed.ports import free_address
 
 
 async def test_accepted_connections_send_without_delay():
--- a/packages/links/tests/test_pool.py
+++ b/packages/links/tests/test_pool.py
@@ -8,7 +8,7 @@
 
 from fireflyrack.core import Ok
 from fireflyrack.links import LinkFailureKind, LinkPool, LinkServer, LinkSettings
-from fireflyrack.testbed.site import free_address
+from fireflyrack.testbed.ports import free_address
 
 
 @pytest.fixture
--- a/packages/peers/tests/test_exchange.py
+++ b/packages/peers/tests/test_exchange.py
@@ -10,8 +10,8 @@
 from fireflyrack.discovery import Item
 from fireflyrack.forwarding import News, ServerReport
 from fireflyrack.peers import PeerExchange
+from fireflyrack.testbed.ports import free_address
 from fireflyrack.testbed.proxy import Fault, FaultProxy
-from fireflyrack.testbed.site import free_address
 
 NEWS = News((ServerReport("i-1", 0, 4.0, 0.0),))
 ITEMS = {"a/": (Item("a/1", b"1", 5),)}
--- a/packages/testbed/src/fireflyrack/testbed/backend_process.py
+++ b/packages/testbed/src/fireflyrack/testbed/backend_process.py
@@ -14,7 +14,7 @@
 
 from fireflyrack.configuration import BackendServer
 
-from .site import free_address
+from .ports import free_address
 
 START_TIMEOUT_S = 30.0
 START_POLL_S = 0.02
--- a/packages/testbed/src/fireflyrack/testbed/capacity.py
+++ b/packages/testbed/src/fireflyrack/testbed/capacity.py
@@ -62,7 +62,7 @@
 )
 
 from .plots import plot_slopes
-from .site import free_address
+from .ports import free_address
 
 SNAPSHOT = Snapshot(1, 1)
 REPLICAS = 2
--- a/packages/testbed/src/fireflyrack/testbed/scenarios.py
+++ b/packages/testbed/src/fireflyrack/testbed/scenarios.py
@@ -30,7 +30,8 @@
 from .index import CollectionStatistics
 from .load import LoadGenerator, LoadPlan, LoadResult, Request
 from .plots import plot_percentiles
-from .site import ServiceLayout, Site, SiteLayout, free_address
+from .ports import free_address
+from .site import ServiceLayout, Site, SiteLayout
 from .sites import MODULES, bucharest, ljubljana
 
 VARIANTS = ("naive", "fireflyrack")
--- a/packages/testbed/src/fireflyrack/testbed/site.py
+++ b/packages/testbed/src/fireflyrack/testbed/site.py
@@ -6,7 +6,6 @@
 import contextlib
 import os
 import signal
-import socket
 import sys
 import tempfile
 from dataclasses import dataclass, field
@@ -18,7 +17,8 @@
 
 from fireflyrack.core import ShardSet
 
-HOST = "127.0.0.1"
+from .ports import free_address
+
 AUDIT_KEYS = [{"id": "k1", "key": "stand-in-audit-key"}]
 START_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 60.0
@@ -96,13 +96,6 @@
     process: asyncio.subprocess.Process | None = None
 
 
-def free_address() -> str:
-    """Return an address that is free now."""
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
-        probe.bind((HOST, 0))
-        return f"{HOST}:{probe.getsockname()[1]}"
-
-
 class Site:
     """Run a site; use it as a context manager.
 
--- a/packages/testbed/tests/test_proxy.py
+++ b/packages/testbed/tests/test_proxy.py
@@ -9,8 +9,8 @@
 import pytest
 
 from fireflyrack.gateway import HttpServer
+from fireflyrack.testbed.ports import free_address
 from fireflyrack.testbed.proxy import Fault, FaultProxy
-from fireflyrack.testbed.site import free_address
 
 
 class CountingResource:
--- a/tests/platform/rack.py
+++ b/tests/platform/rack.py
@@ -15,7 +15,7 @@
 from stand_in_store import StandInStore
 
 from fireflyrack.platform import names
-from fireflyrack.testbed.site import free_address
+from fireflyrack.testbed.ports import free_address
 
 START_TIMEOUT_S = 10.0
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -45,8 +45,8 @@
 
 from fireflyrack.core import steady_now
 from fireflyrack.platform import names
+from fireflyrack.testbed.ports import free_address
 from fireflyrack.testbed.proxy import Fault, FaultProxy
-from fireflyrack.testbed.site import free_address
 
 CALLERS = 8
 PATIENCE_S = 1.5
