Depose a seat when the voters that are left are no quorum

Cause of the red takeover of a paused owner, found by repeating it with the logs kept (24 takeovers in 6 sites on an idle machine): in 2 of 6 sites the first one after the start had not happened after 12 s. The paused instance had joined when one other was there and had been rearranged but not settled, so its previous voters were itself and that other one. A seat was deposed only by a majority that states its lapse, which of two voters is both, and a seat never states its own lapse. The lease needs a majority too, so with one of two gone it cannot be held: no owner, and no successor.

Ruled out: load (the machine was idle), and the stall of voters that was mended before, which has the same symptom.

Now a seat is deposed when those voters that neither stated its lapse nor were replaced are no quorum. This is what the lease and the move to new voters need as well: checked over all voter sets of up to five, previous sets and statements; the deposition of a set of two failed before.

--- a/packages/entry/tests/test_membership.py
+++ b/packages/entry/tests/test_membership.py
@@ -96,9 +96,6 @@
             await asyncio.sleep(0.05)
 
 
-@pytest.mark.xfail(
-    strict=False, reason="KNOWN-RED: a takeover sometimes takes longer than 6 s"
-)
 async def test_paused_owner_is_replaced_and_does_not_act_when_it_resumes(site):
     await wait_owned(site, NAMES, 10)
     rest = [n for n in NAMES if n != "e1"]
--- a/packages/membership/src/fireflyrack/membership/state.py
+++ b/packages/membership/src/fireflyrack/membership/state.py
@@ -141,16 +141,18 @@
     def is_deposed(self, seat: Seat, at: float) -> bool:
         """Return whether no quorum of its voters can acknowledge a seat any more.
 
-        Each voter of a majority has stated that the seat lapsed, or was replaced.
+        The voters that are left, which neither stated that the seat lapsed nor were
+        replaced, decide this and not a majority of the others: of two voters one is
+        the seat itself, which never states its own lapse.
         """
         for voters in (seat.voters, seat.previous):
-            lapsed = [
+            left = [
                 voter
                 for voter, entered in voters.items()
-                if self.has_lapsed(seat, voter, entered)
-                or self.cannot_vote(voter, entered, at)
+                if not self.has_lapsed(seat, voter, entered)
+                and not self.cannot_vote(voter, entered, at)
             ]
-            if voters and not is_quorum(lapsed, voters):
+            if is_quorum(left, voters):
                 return False
         return True
 
--- /dev/null
+++ b/packages/membership/tests/test_deposition.py
@@ -0,0 +1,89 @@
+"""Guard against a seat that is never replaced, or replaced while it can still act."""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+import pytest
+
+from fireflyrack.membership import Member, MembershipSettings, new_state
+from fireflyrack.membership.events import Statement, Verdict
+from fireflyrack.membership.leases import OwnerLease
+from fireflyrack.membership.roster import Seat
+
+SETTINGS = MembershipSettings(list_url="http://127.0.0.1:1")
+NAMES = ("e1", "e2", "e3", "e4", "e5")
+SINCE = 7
+SENT_AT = 10.0
+
+
+def member(name: str) -> Member:
+    return Member(name, f"i-{name}", "d", "127.0.0.1:1", "127.0.0.1:2")
+
+
+def state_with(lapsed):
+    """Return the state of an observer that knows the statements of some voters."""
+    state = new_state(member("e9"), SETTINGS, random.Random(1))
+    for voter in lapsed:
+        state.statements["e1", voter] = Statement(
+            subject="e1",
+            since=SINCE,
+            arranged=SINCE,
+            voter=voter,
+            voter_entered=1,
+            verdict=Verdict.LAPSED,
+            number=1,
+        )
+    return state
+
+
+def seat_of(voters, previous=()):
+    return Seat(
+        member("e1"),
+        entered=1,
+        since=SINCE,
+        arranged=SINCE,
+        voters=dict.fromkeys(voters, 1),
+        previous=dict.fromkeys(previous, 1),
+    )
+
+
+def can_act(voters, previous, lapsed) -> bool:
+    """Return whether the seat holds its lease by all voters that have not lapsed it."""
+    lease = OwnerLease(SETTINGS.lease_s)
+    lease.arrange(dict.fromkeys(voters, 1), dict.fromkeys(previous, 1))
+    for voter in {*voters, *previous} - set(lapsed):
+        lease.acknowledge(voter, 1, SENT_AT)
+    return lease.held(SENT_AT)
+
+
+CASES = [
+    (voters, previous, lapsed)
+    for voters in (NAMES[:size] for size in range(1, 6))
+    for previous in ((), *(NAMES[:size] for size in range(1, 6)))
+    for number in range(5)
+    for lapsed in itertools.combinations(NAMES[1:], number)
+]
+
+
+def test_a_seat_is_deposed_only_when_it_can_no_longer_act():
+    """Guards against a second owner beside one that still gets its lease."""
+    for voters, previous, lapsed in CASES:
+        if state_with(lapsed).is_deposed(seat_of(voters, previous), SENT_AT):
+            assert not can_act(voters, previous, lapsed), (voters, previous, lapsed)
+
+
+@pytest.mark.parametrize("size", [2, 3, 4, 5])
+def test_a_silent_seat_is_deposed_by_all_its_other_voters(size):
+    """Guards against a voter set of two, in which the silent seat had to agree."""
+    voters = NAMES[:size]
+    assert state_with(voters[1:]).is_deposed(seat_of(voters), SENT_AT)
+    moving = seat_of(NAMES, previous=voters)
+    assert state_with(NAMES[1:]).is_deposed(moving, SENT_AT)
+
+
+def test_a_minority_deposes_no_seat():
+    """Guards against one voter with a broken link that takes servers from an owner."""
+    for voters in (NAMES[:3], NAMES[:5]):
+        assert not state_with(voters[1:2]).is_deposed(seat_of(voters), SENT_AT)
