Take the longest gathering of changes from the operator's bounds

The limit of 1 s leaned on a bound of 3 s that stands in the settings of the known deployments; one with a bound of 2 s would have left half of it to the store. The limit is now a third of the shorter of the operator's bounds for a configuration and for a backend server that leaves, at most 2 s. Where the bounds are not given, 3 s are assumed, as before. Changes count as over when none came for 0.5 s after the gathering; a fixed 1.5 s would have been shorter than the gathering itself.

The three beliefs on a backend server share the code that weighs the reports of peers.

--- a/packages/discovery/src/fireflyrack/discovery/watcher.py
+++ b/packages/discovery/src/fireflyrack/discovery/watcher.py
@@ -21,13 +21,15 @@
 # earlier whether the store is still there.
 WATCH_WAIT_S = 15.0
 # Changes are gathered this long, because each reply of a watch costs a call; longer
-# while replies follow one another. The longest wait leaves two thirds of the shortest
-# bound for a configuration, 3 s, to the store and its outages.
+# while replies follow one another, up to a part of the operator's bound for a change.
+# The rest of the bound is for the store and its outages.
 MIN_GATHER_S = 0.1
-MAX_GATHER_S = 1.0
+GATHER_PART = 1 / 3
+# Registers of instances and backend servers that are gone are of no use for longer.
+MAX_GATHER_S = 2.0
 GATHER_GROWTH = 1.5
-# Without a change for this time the next one is read soon again.
-CALM_S = 1.5
+# Without a change for this time after gathering the next one is read soon again.
+CALM_S = 0.5
 # Pause after a failed call, doubled with each further one: refused calls count for the
 # rate of the fleet as well.
 MIN_RETRY_PAUSE_S = 0.15
@@ -40,6 +42,8 @@
 class WatchPace:
     """Hold how long to wait between the calls of a watcher."""
 
+    # Within which a change has to take effect, in seconds.
+    change_bound_s: float
     gather_s: float = MIN_GATHER_S
     replied_at: float = -math.inf
     retry_s: float = MIN_RETRY_PAUSE_S
@@ -47,8 +51,9 @@
     def after_reply_s(self, at: float) -> float:
         """Return the pause after a reply."""
         self.retry_s = MIN_RETRY_PAUSE_S
-        calm = at - self.replied_at > CALM_S
-        grown_s = min(MAX_GATHER_S, GATHER_GROWTH * self.gather_s)
+        calm = at - self.replied_at > self.gather_s + CALM_S
+        longest_s = min(MAX_GATHER_S, GATHER_PART * self.change_bound_s)
+        grown_s = min(longest_s, GATHER_GROWTH * self.gather_s)
         self.gather_s = MIN_GATHER_S if calm else grown_s
         self.replied_at = at
         return self.gather_s
@@ -72,6 +77,7 @@
         store: MetadataStore,
         log: EventLog,
         health: StoreHealth,
+        change_bound_s: float,
         now: Callable[[], float],
     ) -> None:
         self.followers = followers
@@ -83,7 +89,7 @@
         self.prefix = os.path.commonprefix([f.prefix for f in followers])
         # Revision to watch from, None while a listing is needed.
         self.revision: int | None = None
-        self.pace = WatchPace()
+        self.pace = WatchPace(change_bound_s)
         self.watch: asyncio.Task[bool] | None = None
         health.listeners.append(self.note_store)
 
--- a/packages/discovery/tests/test_watcher.py
+++ b/packages/discovery/tests/test_watcher.py
@@ -18,6 +18,7 @@
     StoreWatcher,
 )
 from fireflyrack.discovery.watcher import (
+    CALM_S,
     MAX_GATHER_S,
     MAX_RETRY_PAUSE_S,
     MIN_GATHER_S,
@@ -25,6 +26,8 @@
     WatchPace,
 )
 
+BOUND_S = 3.0
+
 
 class Log:
     def record(self, event) -> None:
@@ -64,7 +67,7 @@
         PrefixFollower(prefix, lambda item: item.value, log, health, steady_now)
         for prefix in ("a/", "b/")
     )
-    watcher = StoreWatcher(followers, store, log, health, steady_now)
+    watcher = StoreWatcher(followers, store, log, health, BOUND_S, steady_now)
     task = asyncio.create_task(watcher.follow())
     yield store, followers, health
     task.cancel()
@@ -106,7 +109,7 @@
         PrefixFollower(prefix, lambda item: item.value, Log(), health, steady_now)
         for prefix in ("a/", "b/")
     )
-    watcher = StoreWatcher(empty, store, Log(), health, steady_now)
+    watcher = StoreWatcher(empty, store, Log(), health, BOUND_S, steady_now)
     assert not await watcher.list_once()
     assert empty[0].table.entries == {"a/1": b"0"}
     assert empty[0].revision is None, "stale entries are no base for changes"
@@ -142,17 +145,25 @@
     await eventually(lambda: len(store.asked) == 2)
 
 
-def test_changes_are_gathered_longer_while_they_go_on():
-    """Guards against a call for each of many changes, and against a slow first one."""
-    pace = WatchPace()
-    pauses = [pace.after_reply_s(at / 10) for at in range(20)]
-    assert pauses[0] == MIN_GATHER_S and pauses[-1] == MAX_GATHER_S
-    assert pace.after_reply_s(10.0) == MIN_GATHER_S
+@pytest.mark.parametrize("bound_s", [0.9, BOUND_S, 60.0])
+def test_changes_are_gathered_longer_while_they_go_on(bound_s):
+    """Guards against a call for each of many changes, and against a slow first one.
+
+    The time left of the bound has to do for the store and for a lost reply.
+    """
+    pace = WatchPace(bound_s)
+    at, pauses = 0.0, []
+    for _ in range(20):
+        pauses.append(pace.after_reply_s(at))
+        at += pauses[-1] + CALM_S / 2
+    assert pauses[0] == MIN_GATHER_S and pauses == sorted(pauses)
+    assert pauses[-1] == pytest.approx(min(MAX_GATHER_S, bound_s / 3))
+    assert pace.after_reply_s(at + 10.0) == MIN_GATHER_S
 
 
 def test_calls_that_fail_are_repeated_ever_later_up_to_a_bound():
     """Guards against refused calls that use up the rate of the whole fleet."""
-    pace = WatchPace()
+    pace = WatchPace(BOUND_S)
     pauses = [pace.after_failure_s() for _ in range(6)]
     assert pauses[0] == MIN_RETRY_PAUSE_S and pauses[-1] == MAX_RETRY_PAUSE_S
     pace.after_reply_s(1.0)
--- a/packages/forwarding/src/fireflyrack/forwarding/health.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/health.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import singledispatch
 
@@ -99,34 +100,31 @@
         """Return the share of late attempts, reduced by its age."""
         return aged_share(self.late, at - self.late_at, LATE_HALF_LIFE_S)
 
-    def believed_slowness(self, at: float) -> float:
-        """Return the slowness from own observations and those of peers."""
-        own = self.slowness_now(at)
+    def believed(self, own: float, aged: Callable[[Told], float]) -> float:
+        """Return what own observations and those of peers agree on."""
         if not self.told:
             return own
-        told = [aged_slowness(t.slowness, at - t.at) for t in self.told.values()]
-        return agreed(own, told)
+        return agreed(own, [aged(told) for told in self.told.values()])
+
+    def believed_slowness(self, at: float) -> float:
+        """Return the slowness, own and told one."""
+        return self.believed(
+            self.slowness_now(at), lambda t: aged_slowness(t.slowness, at - t.at)
+        )
 
     def believed_failing(self, at: float) -> float:
-        """Return the share of failures from own observations and those of peers."""
-        own = self.failing_now(at)
-        if not self.told:
-            return own
-        told = [
-            aged_share(t.failing, at - t.at, FAILURE_HALF_LIFE_S)
-            for t in self.told.values()
-        ]
-        return agreed(own, told)
+        """Return the share of failures, own and told ones."""
+        return self.believed(
+            self.failing_now(at),
+            lambda t: aged_share(t.failing, at - t.at, FAILURE_HALF_LIFE_S),
+        )
 
     def believed_late(self, at: float) -> float:
-        """Return the share of late attempts from own observations and those told."""
-        own = self.late_now(at)
-        if not self.told:
-            return own
-        told = [
-            aged_share(t.late, at - t.at, LATE_HALF_LIFE_S) for t in self.told.values()
-        ]
-        return agreed(own, told)
+        """Return the share of late attempts, own and told ones."""
+        return self.believed(
+            self.late_now(at),
+            lambda t: aged_share(t.late, at - t.at, LATE_HALF_LIFE_S),
+        )
 
     def note_told(self, peer: str, report: ServerReport, at: float) -> None:
         """Keep the report of a peer and drop outdated ones."""
--- a/packages/gateway/src/fireflyrack/gateway/instance.py
+++ b/packages/gateway/src/fireflyrack/gateway/instance.py
@@ -135,7 +135,14 @@
         self.peers.on_changed.append(lambda change: self.count_instances())
         self.peers.on_gone.append(lambda gone: self.count_instances())
         followers = (self.configurations, self.registers, self.peers)
-        self.watcher = StoreWatcher(followers, ports.store, log, self.store_health, now)
+        self.watcher = StoreWatcher(
+            followers,
+            ports.store,
+            log,
+            self.store_health,
+            min(settings.configuration_bound_s, settings.drain_bound_s),
+            now,
+        )
         key = instance_key(settings.id)
         self.registration = Registration(
             RegistrationEntry(key, encode_instance(self.own)),
--- a/packages/gateway/src/fireflyrack/gateway/settings.py
+++ b/packages/gateway/src/fireflyrack/gateway/settings.py
@@ -30,6 +30,10 @@
     address_ttl_s: float = Field(default=1.0, gt=0)
     # Time from the request to stop until the process is killed, in seconds.
     grace_s: float = Field(default=6.0, gt=1)
+    # Time within which a new configuration is in force everywhere, and after which a
+    # backend server that leaves gets no more requests, in seconds.
+    configuration_bound_s: float = Field(default=3.0, gt=0)
+    drain_bound_s: float = Field(default=3.0, gt=0)
     # Extra attempts of the whole fleet in any window: for each request, and beyond.
     retry_ratio: float = Field(default=0.1, ge=0)
     retry_slack: float = Field(default=20.0, ge=0)
--- a/tests/platform/test_node_file.py
+++ b/tests/platform/test_node_file.py
@@ -7,6 +7,19 @@
 from fireflyrack.core import SettingsError
 from fireflyrack.platform.node_file import read_node_file
 
+NODE = {
+    "nodeName": "n",
+    "zone": "z",
+    "listen": {
+        "front": "10.0.0.1:1",
+        "ready": "10.0.0.1:2",
+        "directory": "10.0.0.1:3",
+    },
+    "innerPorts": [7, 9],
+    "platform": {"address": "10.0.0.9:1"},
+}
+BOUNDS = {"graceS": 6, "retryBudgetRatio": 0.2, "retrySlack": 9, "ttl_max_s": 5}
+
 
 def test_all_wrong_keys_are_named_at_once(tmp_path):
     """Guards against an operator who mends a file one key at a time."""
@@ -23,3 +36,18 @@
     path.write_text("{")
     with pytest.raises(SettingsError, match=r"\(file\)"):
         read_node_file(str(path), None)
+
+
+@pytest.mark.parametrize(
+    ("given", "configuration_s", "drain_s"),
+    [({"configApplyMs": 5000, "drainMs": 2500}, 5.0, 2.5), ({}, 3.0, 3.0)],
+)
+def test_the_bounds_for_changes_are_read_where_they_are_given(
+    tmp_path, given, configuration_s, drain_s
+):
+    """Guards against gathering changes for longer than the operator allows."""
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps({**NODE, "bounds": {**BOUNDS, **given}}))
+    gateway = read_node_file(str(path), None).gateway
+    assert gateway.configuration_bound_s == configuration_s
+    assert gateway.drain_bound_s == drain_s
