Install and build on arm64 and x86-64, also over files of the other kind

Cause: hdrhistogram has no wheel for arm64, and its source build asks for `wheel`, which an installation without build isolation does not have (`invalid command 'bdist_wheel'` in a fresh clone). target/ and .venv were reused whatever machine they came from, so compiled libraries of the other kind stayed in place.

Ruled out: adding setuptools, wheel and pbr to the tools, since the package then still needs a C compiler on arm64.

Change: the load tool keeps latencies in ddsketch, pure Python with a bound on the relative error (0.1%, the three digits of before; values above one minute are no longer cut). The stamp of build.sh also follows constraints.txt, and is compared by content, not by age.

Before: `scripts/install.sh requirements-dev.txt` failed on arm64. Not run on x86-64.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -4,9 +4,13 @@
 set -eu
 cd "$(dirname "$0")/.."
 deps=target/deps
-if [ ! "$deps/.libraries" -nt deploy/requirements.txt ]; then
+stamp=$deps/.libraries
+key="$(sh scripts/machine_kind.sh python3) $(cat deploy/requirements.txt constraints.txt | sha256sum)"
+if [ "$(cat "$stamp" 2>/dev/null)" != "$key" ]; then
+    # Starts empty: a library of another machine or interpreter does not load here.
+    rm -rf "$deps"
     python3 -m pip install -q -U --target "$deps" -r deploy/requirements.txt
-    touch "$deps/.libraries"
+    echo "$key" > "$stamp"
 fi
 rm -rf "$deps/fireflyrack"
 for package in core telemetry routing discovery links forwarding peers gateway; do
--- a/packages/testbed/src/fireflyrack/testbed/load.py
+++ b/packages/testbed/src/fireflyrack/testbed/load.py
@@ -9,16 +9,13 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from hdrh.histogram import HdrHistogram
+from ddsketch import DDSketch
 
 from fireflyrack.core import Failed, Ok
 
 from .caller import Caller
 
-# Range and precision of the histogram; latencies outside the range count as its limit.
-MIN_LATENCY_US = 1
-MAX_LATENCY_US = 60_000_000
-SIGNIFICANT_DIGITS = 3
+RELATIVE_ACCURACY = 0.001  # of each percentile, as a fraction of its value
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 
 Request = Callable[[random.Random], tuple[str, Any]]
@@ -42,13 +39,9 @@
 
 @dataclass(slots=True)
 class LoadResult:
-    """Measured latencies in microseconds, outcomes, coverage and decisions."""
+    """Measured latencies in milliseconds, outcomes, coverage and decisions."""
 
-    histogram: HdrHistogram = field(
-        default_factory=lambda: HdrHistogram(
-            MIN_LATENCY_US, MAX_LATENCY_US, SIGNIFICANT_DIGITS
-        )
-    )
+    latencies: DDSketch = field(default_factory=lambda: DDSketch(RELATIVE_ACCURACY))
     outcomes: Counter[str] = field(default_factory=Counter)
     coverage_sum: float = 0.0
     answers: int = 0
@@ -71,7 +64,7 @@
 
     def percentile_ms(self, percentile: float) -> float:
         """Return a latency percentile in milliseconds."""
-        return self.histogram.get_value_at_percentile(percentile) / 1000
+        return self.latencies.get_quantile_value(percentile / 100) or 0.0
 
     def coverage(self) -> float:
         """Return the mean coverage over all arrivals; failed requests count as zero."""
@@ -125,9 +118,9 @@
     ) -> None:
         """Send one request; record its outcome and its latency since arrival."""
         outcome = await caller.post(path, body)
-        elapsed_us = (asyncio.get_running_loop().time() - arrived_at) * 1e6
+        elapsed_s = asyncio.get_running_loop().time() - arrived_at
         result = self.result
-        result.histogram.record_value(min(max(int(elapsed_us), 1), MAX_LATENCY_US))
+        result.latencies.add(elapsed_s * 1000)
         match outcome:
             case Ok((200, answer)):
                 result.add_answer(answer)
