Bound responses and frames, and deliver a response before extra bytes

Reports of other operators: bytes without end in a head or body, a head that is cut, a second copy of an answer, one malformed message.

Cause, seen with a server that writes scripted bytes: aiohttp reads blank lines, interim responses, chunks and bodies without end until the deadline (117 MB in 1.5 s from one connection; the deadlines of one site are 10 s). A whole response followed by bytes that are no HTTP in the same packet was lost, since the parser fails on both together. A body with a transfer coding other than chunked that a reset cut short counted as complete, and a 101 was relayed. The store client of the product's interface let aiohttp repeat a PUT on a kept connection that closed without reply; the repeated compare-and-swap then reports a conflict for a write that took effect. A frame that is no protobuf message, or a failing handler of a partial response, ended the task of a link, which was never opened again; the announced length of a frame was read whatever it was (max_message_bytes had no use).

Ruled out: a cut head is reported as a lost connection at each byte, with a close and with a reset, so no 200 with a short body comes from it; a late copy was already found by the pool check or the echoed id.

Change: one package, http_client, with the connection check, the reset check and new limits (settings with units) for backend servers and stores of both front ends. A connection passes one response for each request to the parser; what follows is dropped and the connection not used again. Links raise for a frame above max_message_bytes before reading it, fill frames up to a quarter of it, and reopen after any error.

--- a/packages/admission/src/fireflyrack/admission/backend_client.py
+++ b/packages/admission/src/fireflyrack/admission/backend_client.py
@@ -11,6 +11,7 @@
 
 from fireflyrack.configuration import BackendServer
 from fireflyrack.core import Failed, Ok, Outcome
+from fireflyrack.http_client import CheckedConnector, open_session
 
 from .errors import (
     BackendCallFailed,
@@ -38,16 +39,6 @@
 DRAINING_HEADER = "X-Draining"
 
 
-class IdleClosingConnector(aiohttp.TCPConnector):
-    """Connector that can close its idle connections while others are in use."""
-
-    def close_idle(self) -> None:
-        """Close the idle connections, so that the next requests open new ones."""
-        for connections in self._conns.values():
-            for protocol, _ in connections:
-                protocol.close()
-
-
 class BackendClient:
     """HTTP client of one backend server; calls return an outcome and never raise.
 
@@ -74,13 +65,16 @@
 
     def new_session(self) -> aiohttp.ClientSession:
         """Return a session with the connection limit of the backend server."""
-        self.connector = IdleClosingConnector(
+        limits = self.settings.response_limits
+        self.connector = CheckedConnector(
+            limits,
             limit=self.server.connections,
             keepalive_timeout=self.settings.idle_connection_s,
         )
-        return aiohttp.ClientSession(
+        return open_session(
+            limits,
+            self.connector,
             base_url=f"http://{self.server.address}",
-            connector=self.connector,
             request_class=CheckedRequest,
         )
 
--- a/packages/admission/src/fireflyrack/admission/settings.py
+++ b/packages/admission/src/fireflyrack/admission/settings.py
@@ -7,6 +7,7 @@
 from pydantic import Field
 
 from fireflyrack.core import SettingsModel
+from fireflyrack.http_client import ResponseLimits
 
 
 class AdmissionSettings(SettingsModel):
@@ -40,3 +41,4 @@
     # Below the usual 5 s of HTTP servers: a request sent while the backend server
     # closes the idle connection is lost.
     idle_connection_s: float = Field(default=4.0, gt=0)
+    response_limits: ResponseLimits = ResponseLimits()
--- a/packages/configuration/src/fireflyrack/configuration/settings.py
+++ b/packages/configuration/src/fireflyrack/configuration/settings.py
@@ -7,6 +7,7 @@
 from pydantic import Field
 
 from fireflyrack.core import SettingsModel
+from fireflyrack.http_client import ResponseLimits
 
 
 class StoreSettings(SettingsModel):
@@ -27,6 +28,7 @@
     watchers: int = Field(default=3, ge=1, le=64)
     # Time limit of one request to a peer.
     peer_timeout_s: float = Field(default=1.0, gt=0, le=60)
+    response_limits: ResponseLimits = ResponseLimits()
 
     def backoff_s(self, attempt: int, rng: random.Random) -> float:
         """Return the delay before an attempt, counted from 1, with jitter.
--- a/packages/configuration/src/fireflyrack/configuration/store.py
+++ b/packages/configuration/src/fireflyrack/configuration/store.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from fireflyrack.core import Failed, Ok, Outcome
+from fireflyrack.http_client import open_session
 
 from .errors import StoreFailure, StoreFailureKind
 from .settings import StoreSettings
@@ -37,7 +38,9 @@
 
     async def open(self) -> None:
         """Open the connection pool."""
-        self.session = aiohttp.ClientSession(base_url=self.settings.url)
+        self.session = open_session(
+            self.settings.response_limits, base_url=self.settings.url
+        )
 
     async def close(self) -> None:
         """Close the connection pool."""
--- a/packages/entry/src/fireflyrack/entry/instance.py
+++ b/packages/entry/src/fireflyrack/entry/instance.py
@@ -11,6 +11,7 @@
 from fireflyrack.configuration import Configuration, StoreClient
 from fireflyrack.core import Ok
 from fireflyrack.dissemination import Disseminator, Register
+from fireflyrack.http_client import open_session
 from fireflyrack.links import LinkPool, LinkServer
 from fireflyrack.membership import Member, Ownership
 from fireflyrack.search import ReportModel, ReportTable
@@ -127,7 +128,7 @@
 
         Raises OSError if the link address is in use.
         """
-        self.session = aiohttp.ClientSession()
+        self.session = open_session(self.settings.store.response_limits)
         await self.store.open()
         # Cancels queued sub-requests when their coordinator disconnects.
         self.link_server.register(
--- a/packages/gateway/src/fireflyrack/gateway/settings.py
+++ b/packages/gateway/src/fireflyrack/gateway/settings.py
@@ -5,6 +5,7 @@
 from pydantic import Field
 
 from fireflyrack.core import SettingsModel
+from fireflyrack.http_client import ResponseLimits
 from fireflyrack.telemetry import EventLogSettings
 
 Address = Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
@@ -40,4 +41,6 @@
     retry_ratio: float = Field(default=0.1, ge=0)
     retry_slack: float = Field(default=20.0, ge=0)
     retry_window_s: float = Field(default=10.0, gt=0)
+    # Limits of the responses of backend servers.
+    response_limits: ResponseLimits = ResponseLimits()
     log: EventLogSettings = EventLogSettings()
--- /dev/null
+++ b/packages/http_client/tests/test_responses.py
@@ -0,0 +1,215 @@
+"""Tests of responses that are cut, endless, repeated or followed by other bytes.
+
+A server that writes scripted bytes stands for a faulty backend server, peer or store.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+
+from fireflyrack.http_client import ResponseLimits, ResponseTooLarge, open_session
+
+LIMITS = ResponseLimits(max_head_bytes=20_000, max_body_bytes=100_000)
+HEAD = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+SIZED = HEAD + b"Content-Length: 4\r\n\r\nbody"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+# Bytes that end a response early if the client takes a cut for an end.
+CHUNKS_STARTED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# A faulty server is given up long before this deadline of the request.
+DEADLINE_S = 20.0
+EARLY_S = 5.0
+
+
+class ScriptedServer:
+    """Server that answers each request with the next script, then closes or waits."""
+
+    def __init__(self, scripts, endless=b"", close=False):
+        self.scripts = list(scripts)
+        self.endless = endless
+        self.close = close
+        self.connections = 0
+        self.requests = 0
+        self.sent_bytes = 0
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self.requests += 1
+                writer.write(self.scripts.pop(0))
+                await writer.drain()
+                while self.endless:
+                    writer.write(self.endless)
+                    await writer.drain()
+                    self.sent_bytes += len(self.endless)
+                if self.close:
+                    return
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+
+
+@asynccontextmanager
+async def client_of(server):
+    serving = set()
+
+    async def serve(reader, writer):
+        serving.add(asyncio.current_task())
+        try:
+            await server.serve(reader, writer)
+        finally:
+            writer.close()
+
+    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = listener.sockets[0].getsockname()
+    async with open_session(LIMITS, base_url=f"http://{host}:{port}") as session:
+        yield session
+    listener.close()
+    await asyncio.gather(*serving, return_exceptions=True)
+
+
+async def fetch(session, method="GET"):
+    timeout = aiohttp.ClientTimeout(total=DEADLINE_S)
+    async with session.request(method, "/", timeout=timeout) as response:
+        body = await response.read()
+        return response.status, body, response.is_complete()
+
+
+@pytest.mark.parametrize("response", [SIZED, CHUNKED])
+async def test_cut_response_is_never_complete(response):
+    """Guards against a status with an empty or short body that looks whole.
+
+    The server stops after each possible byte, in the head or the body, and closes.
+    """
+    for length in range(len(response)):
+        server = ScriptedServer([response[:length]], close=True)
+        async with client_of(server) as session:
+            with pytest.raises(aiohttp.ClientError):
+                await fetch(session)
+
+
+async def test_coded_body_that_ends_by_a_reset_is_not_complete():
+    """Guards against taking a transfer coding other than chunked for an end mark."""
+    server = ScriptedServer([HEAD + b"Transfer-Encoding: gzip\r\n\r\nhal"], close=True)
+    async with client_of(server) as session:
+        timeout = aiohttp.ClientTimeout(total=DEADLINE_S)
+        async with session.get("/", timeout=timeout) as response:
+            response.connection.transport.abort()
+            response.connection_end.set_exception(ConnectionResetError())
+            assert not response.is_complete()
+
+
+@pytest.mark.parametrize(
+    ("start", "filler"),
+    [
+        (HEAD, b"X-A: b\r\n" * 100),
+        (HEAD + b"X-A: ", b"b" * 1000),
+        (b"HTTP/1.1 200 ", b"b" * 1000),
+        (b"", b"\0" * 1000),
+        (b"", b"\r\n" * 500),
+        (b"", b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" * 30),
+        (HEAD + b"\r\n", b"b" * 1000),
+        (HEAD + b"Content-Length: 99999999999\r\n\r\n", b"b" * 1000),
+        (CHUNKS_STARTED, b"100\r\n" + b"b" * 256 + b"\r\n"),
+        (CHUNKS_STARTED + b"4;", b"x" * 1000),
+        (CHUNKS_STARTED, b"0" * 1000),
+        (CHUNKS_STARTED + b"4\r\nbody\r\n0\r\n", b"X: y\r\n" * 100),
+    ],
+    ids=[
+        "headers",
+        "header value",
+        "reason",
+        "zero bytes",
+        "blank lines",
+        "interim responses",
+        "body without length",
+        "body with huge length",
+        "chunks",
+        "chunk extension",
+        "chunk size",
+        "trailers",
+    ],
+)
+async def test_endless_response_ends_early_as_an_error(start, filler):
+    """Guards against memory and time that grow until the deadline of the request."""
+    server = ScriptedServer([start], endless=filler)
+    started_at = time.monotonic()
+    async with client_of(server) as session:
+        with pytest.raises(aiohttp.ClientError):
+            await fetch(session)
+        assert time.monotonic() - started_at < EARLY_S
+        assert not session.connector._conns
+
+
+async def test_body_beyond_the_limit_names_the_limit():
+    """Guards against an error that does not tell why the connection was closed."""
+    server = ScriptedServer([HEAD + b"\r\n"], endless=b"b" * 1000)
+    async with client_of(server) as session:
+        with pytest.raises(ResponseTooLarge, match="120000 bytes"):
+            await fetch(session)
+
+
+@pytest.mark.parametrize("response", [SIZED, CHUNKED])
+@pytest.mark.parametrize("extra", [SIZED, b"\0\1 no response", b"\r\n\r\n"])
+async def test_response_before_extra_bytes_is_delivered_and_they_are_dropped(
+    response, extra
+):
+    """Guards against losing a response, or answering the next request, by extra bytes.
+
+    The extra bytes come in the packet of the response: a second copy of it, or bytes
+    that are no response.
+    """
+    server = ScriptedServer([response + extra, response])
+    async with client_of(server) as session:
+        for _ in range(2):
+            assert await fetch(session) == (200, b"body", True)
+    assert server.connections == 2
+
+
+async def test_copy_that_arrives_later_is_not_the_next_response():
+    """Guards against a late second copy on a connection that is used again."""
+    other = SIZED.replace(b"body", b"late")
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(SIZED)
+        await asyncio.sleep(0.05)
+        writer.write(other)
+        await reader.read()
+
+    server = ScriptedServer([])
+    server.serve = serve
+    async with client_of(server) as session:
+        assert await fetch(session) == (200, b"body", True)
+        await asyncio.sleep(0.1)
+        assert await fetch(session) == (200, b"body", True)
+
+
+async def test_interim_responses_precede_the_response():
+    """Guards against taking an interim response for the answer."""
+    interim = b"HTTP/1.1 103 Early Hints\r\nX-Id: 2\r\n\r\n"
+    server = ScriptedServer([interim * 2 + SIZED, SIZED])
+    async with client_of(server) as session:
+        for _ in range(2):
+            assert await fetch(session) == (200, b"body", True)
+    assert server.connections == 1
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT"])
+async def test_request_is_not_repeated_when_its_connection_closes(method):
+    """Guards against a second execution that the caller does not know of.
+
+    aiohttp repeats idempotent methods on a kept connection that closes without reply.
+    """
+    server = ScriptedServer([SIZED, b""])
+    async with client_of(server) as session:
+        assert (await fetch(session))[0] == 200
+        server.close = True
+        with pytest.raises(aiohttp.ClientError):
+            await fetch(session, method)
+    assert server.requests == 2
--- a/packages/links/src/fireflyrack/links/errors.py
+++ b/packages/links/src/fireflyrack/links/errors.py
@@ -5,6 +5,12 @@
 import enum
 from dataclasses import dataclass
 
+from fireflyrack.core import FireflyrackError
+
+
+class FrameTooLarge(FireflyrackError):
+    """A peer announced a frame that exceeds the limit."""
+
 
 class LinkFailureKind(enum.Enum):
     """Reason why a request to a peer failed."""
--- a/packages/links/src/fireflyrack/links/frames.py
+++ b/packages/links/src/fireflyrack/links/frames.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Any
 
+from .errors import FrameTooLarge
 from .link_pb2 import Frame, Message
 
 # Reserved kind of a response that holds the reason why a request was rejected.
@@ -47,3 +49,19 @@
 ) -> Frame:
     """Return a frame that carries the messages."""
     return Frame(sender=sender, messages=messages, sender_address=sender_address)
+
+
+def bound_frames(stream: Any, max_bytes: int) -> None:
+    """Make an open stream raise FrameTooLarge for a longer frame, before reading it.
+
+    grpclib itself reads a message of any announced length into memory.
+    """
+    transport = stream._stream
+    receive = transport.recv_data
+
+    async def receive_bounded(size: int) -> bytes:
+        if size > max_bytes:
+            raise FrameTooLarge(f"frame of {size} bytes exceeds {max_bytes} bytes")
+        return await receive(size)
+
+    transport.recv_data = receive_bounded
--- a/packages/links/src/fireflyrack/links/pool.py
+++ b/packages/links/src/fireflyrack/links/pool.py
@@ -18,6 +18,7 @@
     CANCEL_KIND,
     REJECTED_KIND,
     IncomingMessage,
+    bound_frames,
     decode_frame,
     encode_frame,
 )
@@ -126,9 +127,7 @@
         """Return the link to a peer; create it and start its task on first use."""
         link = self.links.get(address)
         if link is None:
-            settings = self.settings
-            outbox = Outbox(settings.max_waiting_messages, settings.max_frame_messages)
-            link = self.links[address] = Link(address, outbox)
+            link = self.links[address] = Link(address, Outbox(self.settings))
             link.task = asyncio.create_task(self.maintain_stream(link))
         return link
 
@@ -139,6 +138,11 @@
                 await self.run_stream(link)
             except STREAM_ERRORS as error:
                 self.fail_pending(link, error)
+            except Exception as error:
+                # A malformed frame, or a handler of a partial response that fails,
+                # costs this stream only.
+                log.exception("link to {} failed", link.address)
+                self.fail_pending(link, error)
             # Needs no jitter: each link has one reconnecting task and a bounded rate.
             await asyncio.sleep(self.settings.reconnect_delay_s)
 
@@ -150,6 +154,7 @@
                 await channel.__connect__()
             async with LinkStub(channel).Exchange.open() as stream:
                 await stream.send_request()
+                bound_frames(stream, self.settings.max_message_bytes)
                 link.connected = True
                 log.info("link to {} is open", link.address)
                 writer = asyncio.create_task(self.write_frames(link, stream))
--- a/packages/links/src/fireflyrack/links/server.py
+++ b/packages/links/src/fireflyrack/links/server.py
@@ -14,6 +14,7 @@
     CANCEL_KIND,
     REJECTED_KIND,
     IncomingMessage,
+    bound_frames,
     decode_frame,
     encode_frame,
 )
@@ -65,8 +66,8 @@
 
     async def Exchange(self, stream: Stream[Frame, Frame]) -> None:  # noqa: N802
         """Serve one stream of a peer (gRPC method)."""
-        settings = self.settings
-        outbox = Outbox(settings.max_waiting_messages, settings.max_frame_messages)
+        bound_frames(stream, self.settings.max_message_bytes)
+        outbox = Outbox(self.settings)
         running_handlers: dict[int, asyncio.Task[None]] = {}
         stream_bound_tasks: set[asyncio.Task[None]] = set()
         writer = asyncio.create_task(self.write_frames(outbox, stream))
--- a/packages/links/src/fireflyrack/links/settings.py
+++ b/packages/links/src/fireflyrack/links/settings.py
@@ -14,4 +14,6 @@
     reconnect_delay_s: float = Field(default=0.2, gt=0)
     max_waiting_messages: int = Field(default=10_000, gt=0)
     max_frame_messages: int = Field(default=500, gt=0)
-    max_message_bytes: int = Field(default=4 * 1024 * 1024, gt=0)
+    # Largest frame that is accepted from a peer. Frames are filled up to a quarter of
+    # it, so that a message of up to three quarters fits.
+    max_message_bytes: int = Field(default=16 * 1024 * 1024, gt=0)
--- a/tests/platform/stand_in_server.py
+++ b/tests/platform/stand_in_server.py
@@ -27,6 +27,8 @@
     """Bytes to send, and whether to close or reset the connection afterwards."""
 
     data: bytes
+    # Bytes that are repeated after the data until the connection closes.
+    endless: bytes = b""
     close: bool = False
     reset: bool = False
 
@@ -91,6 +93,9 @@
                     break
                 writer.write(reply.data)
                 await writer.drain()
+                while reply.endless:
+                    writer.write(reply.endless)
+                    await writer.drain()
                 if reply.reset:
                     # Lets the client receive the data before the reset.
                     await asyncio.sleep(0.02)
@@ -206,6 +211,42 @@
     return Reply(whole.data[:-2], close=True)
 
 
+async def cut_head(server: StandInServer, request: ReceivedRequest) -> Reply:
+    """Close the connection inside the head of a response."""
+    whole = await answer(server, request)
+    return Reply(whole.data[: whole.data.index(b"Content-Length")], close=True)
+
+
+async def cut_chunks(server: StandInServer, request: ReceivedRequest) -> Reply:
+    """Close the connection before the last chunk of a body."""
+    head = (
+        f"HTTP/1.1 200 OK\r\n{names.SIGNATURE}: sig\r\n"
+        f"{names.REQUEST_ID}: {request.headers[names.REQUEST_ID.lower()]}\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    )
+    return Reply(head.encode() + b"4\r\nhalf\r\n", close=True)
+
+
+async def endless_head(server: StandInServer, request: ReceivedRequest) -> Reply:
+    """Send interim responses without end."""
+    return Reply(b"", endless=b"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n" * 100)
+
+
+async def endless_body(server: StandInServer, request: ReceivedRequest) -> Reply:
+    """Send a body without length and without end."""
+    head = (
+        f"HTTP/1.1 200 OK\r\n{names.SIGNATURE}: sig\r\n"
+        f"{names.REQUEST_ID}: {request.headers[names.REQUEST_ID.lower()]}\r\n\r\n"
+    )
+    return Reply(head.encode(), endless=b"b" * 65536)
+
+
+async def switch_protocols(server: StandInServer, request: ReceivedRequest) -> Reply:
+    """Switch to a protocol that was not requested."""
+    head = f"HTTP/1.1 101 Switching Protocols\r\n{names.SIGNATURE}: sig\r\n"
+    return Reply(head.encode() + b"Connection: upgrade\r\nUpgrade: x\r\n\r\n")
+
+
 async def crash_on_path(server: StandInServer, request: ReceivedRequest) -> Reply:
     """Simulate a crash on paths ending in /crash: stop listening and reset."""
     if not request.target.endswith("/crash"):
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -61,15 +61,21 @@
         assert response.headers[names.MISSING_SHARDS] == "1"
 
 
-@pytest.mark.parametrize(
-    "behaviour",
-    [
-        behaviours.malformed_response,
-        behaviours.wrong_request_id,
-        behaviours.reset_in_body,
-        behaviours.truncated_body,
-    ],
-)
+# Responses that must never reach a caller.
+INVALID_RESPONSES = [
+    behaviours.malformed_response,
+    behaviours.wrong_request_id,
+    behaviours.reset_in_body,
+    behaviours.truncated_body,
+    behaviours.cut_head,
+    behaviours.cut_chunks,
+    behaviours.endless_head,
+    behaviours.endless_body,
+    behaviours.switch_protocols,
+]
+
+
+@pytest.mark.parametrize("behaviour", INVALID_RESPONSES)
 async def test_invalid_backend_responses_are_not_relayed(cluster, behaviour):
     """Guards against relaying malformed, truncated or mismatched responses."""
     await cluster.add_server("i-1", "s", behaviour=behaviour)
@@ -80,6 +86,26 @@
         assert names.SIGNATURE not in response.headers
 
 
+@pytest.mark.parametrize("behaviour", INVALID_RESPONSES)
+async def test_request_with_an_invalid_response_is_retried_elsewhere(
+    cluster, behaviour
+):
+    """Guards against a faulty server that costs its callers their answers.
+
+    One of two servers is faulty; each request must get the whole answer of the other
+    well before the deadline, whichever is tried first.
+    """
+    await cluster.add_server("i-1", "s", behaviour=behaviour)
+    await cluster.add_server("i-2", "s", body=b"whole")
+    await cluster.configure(ROUTE)
+    gateway = await cluster.start()
+    for number in range(4):
+        async with asyncio.timeout(1.0):
+            async with gateway.get("/a/x", request_id=f"r{number}") as response:
+                assert (response.status, await response.read()) == (200, b"whole")
+                assert response.headers[names.SIGNATURE] == "sig.i-2"
+
+
 async def test_close_delimited_body_is_relayed_whole(cluster):
     """Guards against treating a normal close as a reset."""
     await cluster.add_server(
--- a/tests/scripts/test_install.py
+++ b/tests/scripts/test_install.py
@@ -14,6 +14,18 @@
 import pytest
 
 ROOT = Path(__file__).parents[2]
+# Packages that the build script copies.
+PACKAGES = (
+    "core",
+    "http_client",
+    "telemetry",
+    "routing",
+    "discovery",
+    "links",
+    "forwarding",
+    "peers",
+    "gateway",
+)
 
 # Prints the interpreter that a test sets, logs each call of pip, and creates an
 # environment that has this interpreter.
@@ -55,7 +67,14 @@
                 folder / name,
                 ignore=shutil.ignore_patterns("__pycache__", "*.egg-info"),
             )
-        for name in ("core", "telemetry", "routing", "discovery", "links"):
+        for name in (
+            "core",
+            "http_client",
+            "telemetry",
+            "routing",
+            "discovery",
+            "links",
+        ):
             self.add_package(name)
         for name in ("forwarding", "peers", "gateway"):
             self.add_package(name)
