Allow again that the second run after a crash has an unknown outcome

Cause: also required that the second run is refused. When a process ends, the kernel releases its files last opened first, so its listener still accepts for a moment after its connections are closed; such a run may have been read, and its outcome is truly unknown.

Change: the check is the one of (the third run is refused, since the reset of the second tells that the listener is gone).

--- a/packages/admission/tests/test_backend.py
+++ b/packages/admission/tests/test_backend.py
@@ -263,7 +263,10 @@
     ]
     outcomes = await asyncio.gather(*tasks)
     assert isinstance(outcomes[0], RunOutcomeUnknown)
-    assert outcomes[1:] == [RunRefused(RefusalReason.UNREACHABLE)] * 2
+    # A process that ends closes its listener after its connections, so the second may
+    # be sent on a new connection that the kernel accepts and then resets.
+    assert all(isinstance(o, RunOutcomeUnknown | RunRefused) for o in outcomes[1:])
+    assert outcomes[2] == RunRefused(RefusalReason.UNREACHABLE)
     await backend.start()
     await owned.poll_status("b0")
     assert isinstance(await owned.run("b0", run("again")), RunAnswered)
