Log refusals, failures and lost dependencies above info, and untie two modules

Cause: each line had the level info, so an operator could not select by it; plots, capacity and scenarios of the testbed imported each other's types; the test of refused attempts did not check that a second server is tried.

Change: the level follows from the type of the event (singledispatch): warning for a lost dependency, an unusable entry or message, a refusal or failure of a request; error for an internal fault. Fields and kinds stay. LinearFit has a module of its own, and plots take curves. The test records each offer to a server, and requires two.

--- a/packages/discovery/src/fireflyrack/discovery/log_events.py
+++ b/packages/discovery/src/fireflyrack/discovery/log_events.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
-from fireflyrack.telemetry import LogEvent
+from fireflyrack.telemetry import LogEvent, Severity, severity_of
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,3 +47,8 @@
     call: str
     problem: str
     detail: str
+
+
+@severity_of.register
+def _(event: EntryRejected | HistoryLost | StoreCallFailed) -> Severity:
+    return Severity.WARNING
--- a/packages/entry/tests/test_requests.py
+++ b/packages/entry/tests/test_requests.py
@@ -33,15 +33,20 @@
 
 
 class FakeRunner:
-    """Record the body and server of each run; `results` overrides answers by body."""
+    """Record the body and server of each run; `results` overrides answers by body.
 
-    def __init__(self, executed, results):
+    `offered` also holds the runs that were refused before they started.
+    """
+
+    def __init__(self, executed, offered, results):
         self.executed = executed
+        self.offered = offered
         self.results = results
         self.released = asyncio.Event()
         self.released.set()
 
     async def run(self, backend_server, run):
+        self.offered.append((run.body, backend_server))
         result = self.results.get(run.body)
         if not isinstance(result, NotSent):
             self.executed.append((run.body, backend_server))
@@ -54,6 +59,7 @@
 
     def __init__(self):
         self.executed = []
+        self.offered = []
         self.results = {}
         self.members = {name: self.member(name) for name in NAMES}
         self.nodes, self.runners, self.pools, self.servers = {}, {}, {}, {}
@@ -72,7 +78,9 @@
             server = self.servers[name] = LinkServer(LinkSettings(), name)
             disseminator = Disseminator(name, DisseminationSettings(), pool)
             self.disseminators[name] = disseminator
-            runner = self.runners[name] = FakeRunner(self.executed, self.results)
+            runner = self.runners[name] = FakeRunner(
+                self.executed, self.offered, self.results
+            )
             node = self.nodes[name] = RequestService(
                 member,
                 SETTINGS,
@@ -175,11 +183,16 @@
 
 
 async def test_refused_attempts_report_not_run(fleet):
-    """Guards against an unknown outcome when no attempt was sent."""
+    """Guards against an unknown outcome when no attempt was sent.
+
+    Also fails if a refused request is not tried on a second backend server.
+    """
     fleet.results["x"] = NotSent("shed")
     ticket = fleet.ticket("e0")
     outcome = await fleet.call("e0", ticket, "x")
     assert (outcome.value.outcome, outcome.value.reason) == ("not_run", "shed")
+    assert len({server for _, server in fleet.offered}) >= 2
+    assert fleet.executed == []
 
 
 async def test_successor_answers_after_planned_stop(fleet):
--- a/packages/forwarding/src/fireflyrack/forwarding/log_events.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/log_events.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
-from fireflyrack.telemetry import Importance, LogEvent
+from fireflyrack.telemetry import Importance, LogEvent, Severity, severity_of
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,3 +95,14 @@
     cause: str
     configuration: int
     configuration_age_s: float
+
+
+@severity_of.register
+def _(event: RequestRejected) -> Severity:
+    return Severity.WARNING
+
+
+@severity_of.register
+def _(event: RequestFinished) -> Severity:
+    refused_or_failed = event.outcome in ("NotRun", "Unknown")
+    return Severity.WARNING if refused_or_failed else Severity.INFO
--- a/packages/gateway/src/fireflyrack/gateway/log_events.py
+++ b/packages/gateway/src/fireflyrack/gateway/log_events.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
-from fireflyrack.telemetry import Importance, LogEvent
+from fireflyrack.telemetry import Importance, LogEvent, Severity, severity_of
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,3 +181,23 @@
     kind: ClassVar[str] = "request_cleared"
     importance: ClassVar[Importance] = Importance.NOTABLE
     fingerprint: str
+
+
+@severity_of.register
+def _(event: InternalFault) -> Severity:
+    return Severity.ERROR
+
+
+@severity_of.register
+def _(event: RequestSuspected) -> Severity:
+    return Severity.WARNING
+
+
+@severity_of.register
+def _(event: OverloadObserved) -> Severity:
+    return Severity.WARNING if event.strained else Severity.INFO
+
+
+@severity_of.register
+def _(event: SettingsReloaded) -> Severity:
+    return Severity.WARNING if event.outcome == "rejected" else Severity.INFO
--- a/packages/peers/src/fireflyrack/peers/log_events.py
+++ b/packages/peers/src/fireflyrack/peers/log_events.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
-from fireflyrack.telemetry import Importance, LogEvent
+from fireflyrack.telemetry import Importance, LogEvent, Severity, severity_of
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,3 +26,8 @@
     importance: ClassVar[Importance] = Importance.LIFECYCLE
     address: str
     reason: str
+
+
+@severity_of.register
+def _(event: PeerMessageRejected | LinksUnavailable) -> Severity:
+    return Severity.WARNING
--- a/packages/telemetry/src/fireflyrack/telemetry/__init__.py
+++ b/packages/telemetry/src/fireflyrack/telemetry/__init__.py
@@ -3,7 +3,14 @@
 from __future__ import annotations
 
 from .event_log import EventLog, EventLogSettings
-from .events import DependencyLost, DependencyRegained, Importance, LogEvent
+from .events import (
+    DependencyLost,
+    DependencyRegained,
+    Importance,
+    LogEvent,
+    Severity,
+    severity_of,
+)
 from .lines import LineWriter
 
 __all__ = [
@@ -14,4 +21,6 @@
     "Importance",
     "LineWriter",
     "LogEvent",
+    "Severity",
+    "severity_of",
 ]
--- a/packages/telemetry/src/fireflyrack/telemetry/event_log.py
+++ b/packages/telemetry/src/fireflyrack/telemetry/event_log.py
@@ -12,7 +12,7 @@
 
 from fireflyrack.core import SettingsModel
 
-from .events import Importance, LogEvent
+from .events import Importance, LogEvent, Severity, severity_of
 from .lines import LineWriter
 
 EVENTS_CHANNEL = "events"
@@ -51,6 +51,13 @@
         return True
 
 
+LEVELS = {
+    Severity.INFO: logbook.INFO,
+    Severity.WARNING: logbook.WARNING,
+    Severity.ERROR: logbook.ERROR,
+}
+
+
 class JsonLineHandler(logbook.Handler):
     """Logbook handler that writes each log record as one JSON object."""
 
@@ -118,7 +125,7 @@
     def record(self, event: LogEvent) -> None:
         """Write an event unless its importance is over its rate limit."""
         if self.buckets[event.importance].take(self.now()):
-            self.logger.info(event.kind, extra=event_fields(event))
+            self.write(event)
         else:
             self.count_omitted(event)
 
@@ -126,11 +133,16 @@
         """Write all events of one request, or none if the rate limit is reached."""
         if self.buckets[importance].take(self.now(), len(events)):
             for event in events:
-                self.logger.info(event.kind, extra=event_fields(event))
+                self.write(event)
             return
         for event in events:
             self.count_omitted(event)
 
+    def write(self, event: LogEvent) -> None:
+        """Write one event at the level of its type."""
+        level = LEVELS[severity_of(event)]
+        self.logger.log(level, event.kind, extra=event_fields(event))
+
     def count_omitted(self, event: LogEvent) -> None:
         """Count an omitted event; write a summary if one is due."""
         self.omitted[event.kind] += 1
--- a/packages/telemetry/src/fireflyrack/telemetry/events.py
+++ b/packages/telemetry/src/fireflyrack/telemetry/events.py
@@ -4,6 +4,7 @@
 
 import enum
 from dataclasses import dataclass
+from functools import singledispatch
 from typing import ClassVar
 
 
@@ -20,6 +21,16 @@
     ROUTINE = "routine"
 
 
+class Severity(enum.Enum):
+    """Level of a log line."""
+
+    INFO = "info"
+    # A lost dependency, a refused or failed request, unusable data.
+    WARNING = "warning"
+    # A fault of this program.
+    ERROR = "error"
+
+
 @dataclass(frozen=True, slots=True)
 class LogEvent:
     """Base of all log events; a subclass defines one event kind and its fields."""
@@ -46,3 +57,14 @@
     importance: ClassVar[Importance] = Importance.LIFECYCLE
     dependency: str
     away_s: float
+
+
+@singledispatch
+def severity_of(event: LogEvent) -> Severity:
+    """Return the level at which an event is logged, by its type."""
+    return Severity.INFO
+
+
+@severity_of.register
+def _(event: DependencyLost) -> Severity:
+    return Severity.WARNING
--- a/packages/testbed/src/fireflyrack/testbed/capacity.py
+++ b/packages/testbed/src/fireflyrack/testbed/capacity.py
@@ -15,7 +15,6 @@
 import time
 import tracemalloc
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -61,6 +60,7 @@
     decide as decide_fanout,
 )
 
+from .fits import LinearFit
 from .plots import plot_fits
 from .ports import free_address
 
@@ -71,20 +71,6 @@
 REQUEST_TIMEOUT_S = 30.0
 
 
-@dataclass(frozen=True, slots=True)
-class LinearFit:
-    """Linear fit of a cost over sizes: cost = fixed + per_unit * size."""
-
-    name: str
-    unit: str
-    sizes: tuple[int, ...]
-    costs: tuple[float, ...]
-    fixed: float
-    per_unit: float
-    # Largest deviation of a median from the fit, relative to the median.
-    max_deviation: float
-
-
 def fit_costs(name: str, unit: str, costs: dict[int, list[float]]) -> LinearFit:
     """Return the weighted least-squares fit of the medians."""
     sizes = tuple(costs)
--- a/packages/testbed/src/fireflyrack/testbed/plots.py
+++ b/packages/testbed/src/fireflyrack/testbed/plots.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from pathlib import Path
-from typing import TYPE_CHECKING
 
 import matplotlib
 
-if TYPE_CHECKING:
-    from .capacity import LinearFit
-    from .scenarios import ScenarioRun
+from .fits import LinearFit
 
 # The machines have no display.
 matplotlib.use("Agg")
@@ -19,25 +17,34 @@
 PERCENTILES = (50, 75, 90, 95, 99, 99.5, 99.9)
 
 
-def plot_percentiles(runs: Iterable[ScenarioRun], path: Path) -> None:
+@dataclass(frozen=True, slots=True)
+class LatencyCurve:
+    """Latencies of one run in milliseconds, by percentile."""
+
+    scenario: str
+    variant: str
+    percentile_ms: Callable[[float], float]
+
+
+def plot_percentiles(curves: Iterable[LatencyCurve], path: Path) -> None:
     """Plot the latency percentiles of each scenario in a panel of its own."""
-    runs = list(runs)
-    names = list(dict.fromkeys(run.scenario.name for run in runs))
+    curves = list(curves)
+    names = list(dict.fromkeys(curve.scenario for curve in curves))
     columns = min(3, len(names))
     rows = -(-len(names) // columns)
     figure, axes = pyplot.subplots(
         rows, columns, figsize=(5 * columns, 3.2 * rows), squeeze=False
     )
     for name, panel in zip(names, axes.flat, strict=False):
-        for run in (run for run in runs if run.scenario.name == name):
-            latencies = [run.result.percentile_ms(p) for p in PERCENTILES]
-            colour = "tab:red" if run.variant == "naive" else "tab:blue"
+        for curve in (curve for curve in curves if curve.scenario == name):
+            latencies = [curve.percentile_ms(p) for p in PERCENTILES]
+            colour = "tab:red" if curve.variant == "naive" else "tab:blue"
             panel.plot(
                 range(len(PERCENTILES)),
                 latencies,
                 colour,
                 marker=".",
-                label=run.variant,
+                label=curve.variant,
             )
         panel.set_xticks(range(len(PERCENTILES)), [f"{p:g}" for p in PERCENTILES])
         panel.set_yscale("log")
--- a/packages/testbed/src/fireflyrack/testbed/scenarios.py
+++ b/packages/testbed/src/fireflyrack/testbed/scenarios.py
@@ -29,7 +29,7 @@
 )
 from .index import CollectionStatistics
 from .load import LoadGenerator, LoadPlan, LoadResult, Request
-from .plots import plot_percentiles
+from .plots import LatencyCurve, plot_percentiles
 from .ports import free_address
 from .site import ServiceLayout, Site, SiteLayout
 from .sites import MODULES, bucharest, ljubljana
@@ -282,7 +282,11 @@
     }
     text = json.dumps(report, indent=1)
     (folder / f"{options.site}.json").write_text(text, encoding="utf-8")
-    plot_percentiles(runs, folder / f"{options.site}.png")
+    curves = (
+        LatencyCurve(run.scenario.name, run.variant, run.result.percentile_ms)
+        for run in runs
+    )
+    plot_percentiles(curves, folder / f"{options.site}.png")
 
 
 def main() -> int:
