Pace watch calls by the number of instances that watch

Cause: each change in the store costs one watch call of each instance, and the delay that gathers changes started at 0.1 s whatever the fleet's size.

Change: the delay starts at the number of instances over 50 calls a second, within the same upper limit (a third of the operator's bound, 2 s), so no change takes longer than before at most. 40 instances are assumed until this one is synced. The first change after a quiet time is still delivered at once.

--- a/packages/discovery/src/fireflyrack/discovery/watcher.py
+++ b/packages/discovery/src/fireflyrack/discovery/watcher.py
@@ -23,6 +23,9 @@
 # call. It grows while replies follow one another, up to a fraction of the operator's
 # bound for a change; the rest of the bound is left for the store and its outages.
 MIN_BATCH_DELAY_S = 0.1
+# Watch calls that all instances together make while changes go on. Each change costs
+# one call of each instance, so the delay starts higher in a larger fleet.
+FLEET_WATCH_CALLS_PER_S = 50.0
 BATCH_DELAY_FRACTION = 1 / 3
 # Removed instances and backend servers must not stay in use for longer than this.
 MAX_BATCH_DELAY_S = 2.0
@@ -47,15 +50,19 @@
     replied_at: float = -math.inf
     retry_delay_s: float = MIN_RETRY_DELAY_S
 
-    def delay_after_reply_s(self, at: float) -> float:
-        """Return the delay after a reply received at a monotonic time."""
+    def delay_after_reply_s(self, at: float, instances: int) -> float:
+        """Return the delay after a reply received at a monotonic time.
+
+        `instances` is the number of instances that watch the same changes.
+        """
         self.retry_delay_s = MIN_RETRY_DELAY_S
         quiet = at - self.replied_at > self.batch_delay_s + QUIET_PERIOD_S
         max_delay_s = min(
             MAX_BATCH_DELAY_S, BATCH_DELAY_FRACTION * self.propagation_bound_s
         )
-        grown_s = min(max_delay_s, BATCH_DELAY_GROWTH * self.batch_delay_s)
-        self.batch_delay_s = MIN_BATCH_DELAY_S if quiet else grown_s
+        min_delay_s = max(MIN_BATCH_DELAY_S, instances / FLEET_WATCH_CALLS_PER_S)
+        grown_s = 0.0 if quiet else BATCH_DELAY_GROWTH * self.batch_delay_s
+        self.batch_delay_s = min(max_delay_s, max(min_delay_s, grown_s))
         self.replied_at = at
         return self.batch_delay_s
 
@@ -69,7 +76,8 @@
 class StoreWatcher:
     """List and watch the store, and apply the results to a set of caches.
 
-    Run `run_watch_loop` and `run_expiry_loop` as separate tasks.
+    Run `run_watch_loop` and `run_expiry_loop` as separate tasks. `instances` returns
+    how many instances watch the store, this one included.
     """
 
     def __init__(
@@ -79,12 +87,14 @@
         log: EventLog,
         health: StoreHealth,
         propagation_bound_s: float,
+        instances: Callable[[], int],
         now: Callable[[], float],
     ) -> None:
         self.caches = caches
         self.store = store
         self.log = log
         self.health = health
+        self.instances = instances
         self.now = now
         # One call covers all prefixes: each counts toward the fleet-wide rate limit.
         self.prefix = os.path.commonprefix([c.prefix for c in caches])
@@ -104,7 +114,8 @@
         while True:
             advanced = await self.ensure_listed() and await self.watch_once()
             if advanced:
-                await asyncio.sleep(self.delays.delay_after_reply_s(self.now()))
+                delay_s = self.delays.delay_after_reply_s(self.now(), self.instances())
+                await asyncio.sleep(delay_s)
             else:
                 await asyncio.sleep(self.delays.delay_after_failure_s())
 
--- a/packages/discovery/tests/test_watcher.py
+++ b/packages/discovery/tests/test_watcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 
 import pytest
 
@@ -18,6 +19,7 @@
     StoreWatcher,
 )
 from fireflyrack.discovery.watcher import (
+    FLEET_WATCH_CALLS_PER_S,
     MAX_BATCH_DELAY_S,
     MAX_RETRY_DELAY_S,
     MIN_BATCH_DELAY_S,
@@ -67,7 +69,9 @@
         PrefixCache(prefix, lambda item: item.value, log, health, steady_now)
         for prefix in ("a/", "b/")
     )
-    watcher = StoreWatcher(caches, store, log, health, PROPAGATION_BOUND_S, steady_now)
+    watcher = StoreWatcher(
+        caches, store, log, health, PROPAGATION_BOUND_S, lambda: 1, steady_now
+    )
     task = asyncio.create_task(watcher.run_watch_loop())
     yield store, caches, health
     task.cancel()
@@ -110,7 +114,7 @@
         for prefix in ("a/", "b/")
     )
     watcher = StoreWatcher(
-        empty, store, NullLog(), health, PROPAGATION_BOUND_S, steady_now
+        empty, store, NullLog(), health, PROPAGATION_BOUND_S, lambda: 1, steady_now
     )
     assert not await watcher.ensure_listed()
     assert empty[0].table.entries == {"a/1": b"0"}
@@ -157,11 +161,31 @@
     delays = WatchDelays(bound_s)
     at, observed_s = 0.0, []
     for _ in range(20):
-        observed_s.append(delays.delay_after_reply_s(at))
+        observed_s.append(delays.delay_after_reply_s(at, 1))
         at += observed_s[-1] + QUIET_PERIOD_S / 2
     assert observed_s[0] == MIN_BATCH_DELAY_S and observed_s == sorted(observed_s)
     assert observed_s[-1] == pytest.approx(min(MAX_BATCH_DELAY_S, bound_s / 3))
-    assert delays.delay_after_reply_s(at + 10.0) == MIN_BATCH_DELAY_S
+    assert delays.delay_after_reply_s(at + 10.0, 1) == MIN_BATCH_DELAY_S
+
+
+@pytest.mark.parametrize("instances", [4, 31, 78, 300, 830])
+def test_calls_for_a_herd_of_starts_grow_slower_than_the_fleet(instances):
+    """Guards against a store that is flooded when all instances start at once.
+
+    Each start is a change that all instances wait for; the starts are spread over five
+    seconds. No delay may exceed what the operator's bound allows for.
+    """
+    delays = WatchDelays(PROPAGATION_BOUND_S)
+    at, calls = 0.0, 0
+    while at < 5.0:
+        delay_s = delays.delay_after_reply_s(at, instances)
+        assert delay_s <= min(MAX_BATCH_DELAY_S, PROPAGATION_BOUND_S / 3)
+        at += delay_s
+        calls += 1
+    # A third of the bound between the calls of an instance cannot be exceeded.
+    slowest = math.ceil(5.0 / min(MAX_BATCH_DELAY_S, PROPAGATION_BOUND_S / 3))
+    most = max(slowest + 1, 5.0 * FLEET_WATCH_CALLS_PER_S / instances + 1)
+    assert calls <= most
 
 
 def test_retry_delay_grows_up_to_maximum():
@@ -169,5 +193,5 @@
     delays = WatchDelays(PROPAGATION_BOUND_S)
     observed_s = [delays.delay_after_failure_s() for _ in range(6)]
     assert observed_s[0] == MIN_RETRY_DELAY_S and observed_s[-1] == MAX_RETRY_DELAY_S
-    delays.delay_after_reply_s(1.0)
+    delays.delay_after_reply_s(1.0, 1)
     assert delays.delay_after_failure_s() == MIN_RETRY_DELAY_S
--- a/packages/gateway/src/fireflyrack/gateway/instance.py
+++ b/packages/gateway/src/fireflyrack/gateway/instance.py
@@ -69,6 +69,9 @@
 
 # Number of instances assumed to share the limits until the store has listed them.
 INITIAL_INSTANCE_COUNT = 8
+# Assumed number of instances that watch the store until this one is synced. While a
+# whole site starts, backend servers register for seconds and instances are not listed.
+STARTING_INSTANCE_COUNT = 40
 LAG_SAMPLE_INTERVAL_S = 0.05
 # Delay before a background task that failed is restarted.
 RESTART_DELAY_S = 0.5
@@ -145,6 +148,7 @@
             log,
             self.store_health,
             min(settings.configuration_bound_s, settings.drain_bound_s),
+            self.watching_instances,
             now,
         )
         key = instance_key(settings.id)
@@ -236,6 +240,10 @@
             self.server_index.servers_of(service) for service in self.routed_services
         )
 
+    def watching_instances(self) -> int:
+        """Return how many instances are expected to watch the store."""
+        return self.fleet.instances if self.synced else STARTING_INSTANCE_COUNT
+
     def cluster_view(self) -> ClusterView:
         """Return the cached cluster state with the age of each part, -1 if unknown."""
         at = self.now()
