Leave time to close links and connections before the process is killed

Cause: with work in flight until the end, a process gave up 0.35 s before its grace period ended and then closed its control server (0.2 s) and its links one after the other. Seen on a gateway with three peers and a request that outlasts the grace period of 3 s: it ended 0.11 s before the kill.

Ruled out: a request that holds the process; the phase timer fires and the request is answered as unknown (502) before the exit.

Change: 15% of the grace period are left (0.9 s of 6, 0.45 s of 3), and the control server and the links are closed side by side. The test requires 0.2 s of reserve, which it missed before and keeps now.

--- a/packages/gateway/src/fireflyrack/gateway/process.py
+++ b/packages/gateway/src/fireflyrack/gateway/process.py
@@ -57,7 +57,7 @@
             )
             gateway.log.record(started)
             await self.exited.wait()
-        await gateway.stop()
+            await asyncio.gather(self.control_server.close(), gateway.stop())
 
     def log_unhandled_exception(
         self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
--- a/packages/gateway/src/fireflyrack/gateway/shutdown.py
+++ b/packages/gateway/src/fireflyrack/gateway/shutdown.py
@@ -15,8 +15,9 @@
 # Fraction of the grace period in which new requests are still served. Callers use an
 # old address for up to three times its time to live.
 SERVING_FRACTION = 0.62
-# Time before the end of the grace period at which the process exits in any case.
-EXIT_MARGIN_S = 0.35
+# Fraction of the grace period that is left for closing connections and links once
+# nothing more is waited for. A large fleet has a link to each of its instances.
+EXIT_MARGIN_FRACTION = 0.15
 
 
 class Phase(enum.Enum):
@@ -97,7 +98,7 @@
 def _(event: PhaseTimerFired, state: ShutdownState) -> Decision[ShutdownState]:
     if state.phase is Phase.WITHDRAWN:
         state.phase = Phase.CLOSING
-        until = state.requested_at + state.grace_s - EXIT_MARGIN_S
+        until = state.requested_at + (1 - EXIT_MARGIN_FRACTION) * state.grace_s
         return Decision(state, (CloseListeners(until),))
     if state.phase is Phase.CLOSING:
         state.phase = Phase.EXITED
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -11,6 +11,9 @@
 from fireflyrack.platform import names
 
 ROUTE = {"prefix": "/a/", "service": "s"}
+GRACE_S = 3.0  # of the settings in cluster.py
+# A slower machine and more peers must still leave time before the process is killed.
+CLEANUP_RESERVE_S = 0.2
 SEARCH = {
     "prefix": "/q/",
     "gather": ["p0", "p1", "p2"],
@@ -453,3 +456,28 @@
                 if response.status == 200:
                     break
             await asyncio.sleep(0.05)
+
+
+async def test_process_exits_within_the_grace_period_with_work_in_flight(cluster):
+    """Guards against a process that is killed while it cleans up after its last phase.
+
+    A request that outlasts the grace period is in flight, callers hold idle connections
+    to all addresses, and peers hold open links.
+    """
+    await cluster.add_server("i-1", "s", delay_s=30.0)
+    await cluster.configure({**ROUTE, "timeoutMs": 30000})
+    gateway = await cluster.start("g0")
+    for name in ("g1", "g2", "g3"):
+        await cluster.start(name)
+    pending = asyncio.create_task(
+        gateway.status("/a/x", headers={names.DEADLINE_MS: "30000"})
+    )
+    await asyncio.sleep(1.0)
+    loop = asyncio.get_running_loop()
+    requested_at = loop.time()
+    gateway.process.send_signal(15)
+    async with asyncio.timeout(GRACE_S + 5):
+        await gateway.process.wait()
+    assert loop.time() - requested_at < GRACE_S - CLEANUP_RESERVE_S
+    # Nobody can know whether the request ran.
+    assert await pending == 502
