Answer the requests of connections accepted just before a planned stop

Report of other operators: during a planned stop under load, requests that had just been accepted were cut off without an answer. It could happen here.

Cause: when its listener closes, uvicorn also closes each connection whose first request it has not read yet, although the kernel may hold that request already; the caller sees a reset or an end without answer. After the withdrawal each answer asks to close, so callers that keep the address send each request on a new connection and hit this often.

Change: after the listener has closed, connections without a request get up to 0.5 s to send it, and it is answered; then the rest is closed as before.

--- a/packages/gateway/src/fireflyrack/gateway/serving.py
+++ b/packages/gateway/src/fireflyrack/gateway/serving.py
@@ -13,6 +13,10 @@
 LISTEN_BACKLOG = 2048
 GRACEFUL_TIMEOUT_S = 30.0
 STARTUP_POLL_INTERVAL_S = 0.01
+# How long connections that were just accepted may take to send their first request
+# once nothing more is accepted.
+FIRST_REQUEST_TIMEOUT_S = 0.5
+FIRST_REQUEST_POLL_INTERVAL_S = 0.01
 
 
 class EmbeddedServer(uvicorn.Server):
@@ -23,6 +27,24 @@
         """Replace the context manager of uvicorn that installs signal handlers."""
         yield
 
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        """Stop accepting, read the requests of accepted connections, then finish.
+
+        uvicorn closes a connection without a request at once; one that was accepted
+        just before would be cut off with its request unread.
+        """
+        for server in self.servers:
+            server.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_REQUEST_TIMEOUT_S):
+                while self.has_unused_connection():
+                    await asyncio.sleep(FIRST_REQUEST_POLL_INTERVAL_S)
+        await super().shutdown(sockets)
+
+    def has_unused_connection(self) -> bool:
+        """Return whether the first request of a connection has not been read."""
+        return any(c.cycle is None for c in self.server_state.connections)
+
 
 class HttpServer:
     """Serve an ASGI application; call `bind`, then use it as a context manager.
