Wait at most 0.2 s for the first requests of accepted connections

The wait also applies to the control server, which closes within the last 15% of the grace period (0.45 s of 3 s).

--- a/packages/gateway/src/fireflyrack/gateway/serving.py
+++ b/packages/gateway/src/fireflyrack/gateway/serving.py
@@ -15,7 +15,7 @@
 STARTUP_POLL_INTERVAL_S = 0.01
 # How long connections that were just accepted may take to send their first request
 # once nothing more is accepted.
-FIRST_REQUEST_TIMEOUT_S = 0.5
+FIRST_REQUEST_TIMEOUT_S = 0.2
 FIRST_REQUEST_POLL_INTERVAL_S = 0.01
 
 
