Accept what waits at a listener before closing it

Closing a listener resets the connections in its accept queue, and an accepted connection gets its protocol only in a later iteration of the loop, so the wait for first requests could end before it began.

Change: connections that wait are accepted in the step that closes the listener and served like the others; the wait begins after an iteration.

--- a/packages/gateway/src/fireflyrack/gateway/serving.py
+++ b/packages/gateway/src/fireflyrack/gateway/serving.py
@@ -33,19 +33,45 @@
         uvicorn closes a connection without a request at once; one that was accepted
         just before would be cut off with its request unread.
         """
+        # Closing a listener resets the connections that wait to be accepted.
+        accepted = [c for listener in sockets or () for c in accept_waiting(listener)]
         for server in self.servers:
             server.close()
+        loop = asyncio.get_running_loop()
+        for connection in accepted:
+            await loop.connect_accepted_socket(self.create_protocol, connection)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FIRST_REQUEST_TIMEOUT_S):
+                # The loop gives an accepted connection its protocol later.
+                await asyncio.sleep(FIRST_REQUEST_POLL_INTERVAL_S)
                 while self.has_unused_connection():
                     await asyncio.sleep(FIRST_REQUEST_POLL_INTERVAL_S)
         await super().shutdown(sockets)
 
+    def create_protocol(self) -> asyncio.Protocol:
+        """Return the protocol of a connection, as uvicorn creates it."""
+        return self.config.http_protocol_class(
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+
     def has_unused_connection(self) -> bool:
         """Return whether the first request of a connection has not been read."""
         return any(c.cycle is None for c in self.server_state.connections)
 
 
+def accept_waiting(listener: socket.socket) -> list[socket.socket]:
+    """Accept and return the connections that wait at a non-blocking listener."""
+    accepted = []
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            connection, _ = listener.accept()
+            connection.setblocking(False)
+            accepted.append(connection)
+    return accepted
+
+
 class HttpServer:
     """Serve an ASGI application; call `bind`, then use it as a context manager.
 
