--- a/packages/admission/src/fireflyrack/admission/servers.py
+++ b/packages/admission/src/fireflyrack/admission/servers.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Coroutine, Iterable
-from dataclasses import dataclass, field
 from functools import partial, singledispatchmethod
 from typing import Any
 
@@ -53,6 +52,7 @@
     run_outcome,
     work_error,
 )
+from .owned_server import OwnedServer, Waiter
 from .queues import QueueState, decide
 from .sending import MaySend, SendState
 from .settings import AdmissionSettings
@@ -71,34 +71,6 @@
 log = logbook.Logger("admission")
 
 
-@dataclass(slots=True)
-class Waiter:
-    """Future of the outcome of some work, and how many tasks await it."""
-
-    work: Work
-    future: asyncio.Future[Any]
-    timer: asyncio.TimerHandle
-    count: int = 0
-
-
-@dataclass(slots=True)
-class OwnedServer:
-    """Queue and client of one backend server, with its running tasks."""
-
-    client: BackendClient
-    machine: StateMachine[QueueState]
-    waiters: dict[str, Waiter] = field(default_factory=dict)
-    # By work id; the sub-requests of a batch share one state.
-    sends: dict[str, SendState] = field(default_factory=dict)
-    # Requests in flight carry work; calls are status, cancel and warm-up calls.
-    requests: set[asyncio.Task[None]] = field(default_factory=set)
-    calls: set[asyncio.Task[None]] = field(default_factory=set)
-    pending_cancellations: list[str] = field(default_factory=list)
-    warming: bool = False
-    # Set while the connections are being replaced.
-    replacement: asyncio.Task[None] | None = None
-
-
 class OwnedServers:
     """Run work on the backend servers that this instance owns.
 
--- a/packages/links/tests/test_faulty_peers.py
+++ b/packages/links/tests/test_faulty_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import struct
+from contextlib import asynccontextmanager
 
 import pytest
 
@@ -37,24 +38,30 @@
     return message.body
 
 
-@pytest.mark.parametrize("frame", [MALFORMED_FRAME, OVERSIZED_FRAME])
-async def test_link_reopens_after_an_unreadable_frame(frame):
-    """Guards against one bad frame that ends a link for good or fills the memory."""
-    server, pool, address = FaultyServer(frame), LinkPool(SETTINGS, "c"), free_address()
+@asynccontextmanager
+async def linked(server):
+    """Start a server that echoes, and yield a pool and the address of the server."""
     server.register("echo", echo)
+    pool, address = LinkPool(SETTINGS, "client"), free_address()
     await server.start(address)
     try:
-        failed = await pool.request(address, "echo", b"a", 5)
-        assert failed.error.kind is LinkFailureKind.BROKEN
-        assert await pool.request(address, "echo", b"b", 5) == Ok(b"b")
+        yield pool, address
     finally:
         await pool.close()
         await server.close()
 
 
+@pytest.mark.parametrize("frame", [MALFORMED_FRAME, OVERSIZED_FRAME])
+async def test_link_reopens_after_an_unreadable_frame(frame):
+    """Guards against one bad frame that ends a link for good or fills the memory."""
+    async with linked(FaultyServer(frame)) as (pool, address):
+        failed = await pool.request(address, "echo", b"a", 5)
+        assert failed.error.kind is LinkFailureKind.BROKEN
+        assert await pool.request(address, "echo", b"b", 5) == Ok(b"b")
+
+
 async def test_failing_partial_handler_costs_one_stream_only():
     """Guards against an error of a caller that leaves its peer unreachable."""
-    server, pool, address = LinkServer(SETTINGS, "s"), LinkPool(SETTINGS, "c"), ""
 
     async def partial(message, respond):
         respond(b"part")
@@ -63,32 +70,20 @@
     def fail(body):
         raise ValueError("invalid part")
 
+    server = LinkServer(SETTINGS, "server")
     server.register("partial", partial)
-    server.register("echo", echo)
-    address = free_address()
-    await server.start(address)
-    try:
+    async with linked(server) as (pool, address):
         outcome = await pool.request(address, "partial", b"", 5, fail)
         assert outcome.error.kind is LinkFailureKind.BROKEN
         assert await pool.request(address, "echo", b"b", 5) == Ok(b"b")
-    finally:
-        await pool.close()
-        await server.close()
 
 
 async def test_oversized_frame_to_a_server_ends_only_its_stream():
     """Guards against a peer that makes an instance allocate what it announces."""
-    server, pool, address = LinkServer(SETTINGS, "s"), LinkPool(SETTINGS, "c"), ""
-    server.register("echo", echo)
-    address = free_address()
-    await server.start(address)
-    try:
+    async with linked(LinkServer(SETTINGS, "server")) as (pool, address):
         outcome = await pool.request(address, "echo", b"x" * 200_000, 5)
         assert outcome.error.kind is LinkFailureKind.BROKEN
         assert await pool.request(address, "echo", b"b", 5) == Ok(b"b")
-    finally:
-        await pool.close()
-        await server.close()
 
 
 async def test_frames_of_many_large_messages_stay_within_the_limit():
