--- a/packages/gateway/src/fireflyrack/gateway/serving.py
+++ b/packages/gateway/src/fireflyrack/gateway/serving.py
@@ -64,7 +64,8 @@
 def accept_waiting(listener: socket.socket) -> list[socket.socket]:
     """Accept and return the connections that wait at a non-blocking listener."""
     accepted = []
-    with contextlib.suppress(BlockingIOError):
+    # BlockingIOError once none waits; any other error must not stop the shutdown.
+    with contextlib.suppress(OSError):
         while True:
             connection, _ = listener.accept()
             connection.setblocking(False)
