--- a/packages/admission/src/fireflyrack/admission/backend_client.py
+++ b/packages/admission/src/fireflyrack/admission/backend_client.py
@@ -66,14 +66,14 @@
     def new_session(self) -> aiohttp.ClientSession:
         """Return a session with the connection limit of the backend server."""
         limits = self.settings.response_limits
-        self.connector = CheckedConnector(
+        connector = CheckedConnector(
             limits,
             limit=self.server.connections,
             keepalive_timeout=self.settings.idle_connection_s,
         )
         return open_session(
             limits,
-            self.connector,
+            connector,
             base_url=f"http://{self.server.address}",
             request_class=CheckedRequest,
         )
@@ -202,7 +202,7 @@
             if disconnected:
                 # The server may have crashed, with idle connections that still look
                 # open; work sent on one of them would have an unknown outcome.
-                self.connector.close_idle()
+                self.session.connector.close_idle()
             return Failed(BackendCallFailed(detail, disconnected))
         except ValidationError as error:
             return Failed(
