--- a/tests/platform/test_reports.py
+++ b/tests/platform/test_reports.py
@@ -42,7 +42,7 @@
     assert sum(len(server.requests) for server in servers) == 1
 
 
-async def test_silent_server_finishes_its_running_request(cluster):
+async def test_silent_server_finishes_its_running_request(cluster, until):
     """Guards against work that is given up or repeated since its server is silent.
 
     The registration of the only server ends while it runs a request.
@@ -51,7 +51,11 @@
     await cluster.configure(ONCE)
     gateway = await cluster.start()
     running = asyncio.create_task(gateway.status("/a/x", method="POST", data=b"book"))
-    await asyncio.sleep(0.3)
+
+    async def received():
+        return server.requests
+
+    await until(received)
     await cluster.store.remove("servers/i-1")
     await cluster.add_server("i-2", "s")
     assert await running == 200
