--- a/tests/scripts/test_install.py
+++ b/tests/scripts/test_install.py
@@ -67,16 +67,7 @@
                 folder / name,
                 ignore=shutil.ignore_patterns("__pycache__", "*.egg-info"),
             )
-        for name in (
-            "core",
-            "http_client",
-            "telemetry",
-            "routing",
-            "discovery",
-            "links",
-        ):
-            self.add_package(name)
-        for name in ("forwarding", "peers", "gateway"):
+        for name in PACKAGES:
             self.add_package(name)
         for name in ("constraints.txt", "requirements.txt", "requirements-dev.txt"):
             shutil.copy(ROOT / name, folder / name)
