Read what responses state about their backend server, and log each change

Cause: nothing read the rate that a backend server names, so the logs could not tell whether an instance knew of a limit when it sent too much.

A new slice, availability, holds the statements of each incarnation of a server. The adapter decodes a response into a notice; the first, each changed and the last rate are logged once (server_rate_limit_changed), malformed ones as server_statement_ignored.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -13,7 +13,7 @@
     echo "$key" > "$stamp"
 fi
 rm -rf "$deps/fireflyrack"
-for package in core http_client telemetry routing discovery links forwarding peers gateway; do
+for package in core http_client telemetry routing discovery availability links forwarding peers gateway; do
     cp -rp "packages/$package/src/fireflyrack" "$deps/"
 done
 cp -rp platform/src/fireflyrack "$deps/"
--- /dev/null
+++ b/packages/availability/src/fireflyrack/availability/log_events.py
@@ -0,0 +1,42 @@
+"""Log events of the availability slice; all times are in seconds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from fireflyrack.telemetry import LogEvent, Severity, severity_of
+
+
+@dataclass(frozen=True, slots=True)
+class RateLimitChanged(LogEvent):
+    """A backend server named, changed or lifted its rate limit."""
+
+    kind: ClassVar[str] = "server_rate_limit_changed"
+    server: str
+    service: str
+    # Requests per second from all instances together; None without a limit.
+    rate_per_s: float | None
+    previous_per_s: float | None
+    source: str
+    # How long the previous limit was in force.
+    held_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class StatementIgnored(LogEvent):
+    """A statement of a backend server could not be decoded."""
+
+    kind: ClassVar[str] = "server_statement_ignored"
+    server: str
+    statement: str
+
+
+@severity_of.register
+def _(event: RateLimitChanged) -> Severity:
+    return Severity.INFO if event.rate_per_s is None else Severity.WARNING
+
+
+@severity_of.register
+def _(event: StatementIgnored) -> Severity:
+    return Severity.WARNING
--- /dev/null
+++ b/packages/availability/src/fireflyrack/availability/notices.py
@@ -0,0 +1,43 @@
+"""Notices: what the responses of a backend server state about the server itself."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+
+class Source(enum.Enum):
+    """Where a statement about a backend server comes from."""
+
+    RESPONSE = "response"
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Load that a backend server reports with its responses.
+
+    All counts are requests; `slots` is how many the backend server runs at once.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """Statements in one response of a backend server; None where it states nothing."""
+
+    load: Load | None = None
+    # Requests per second that it takes from all entry instances together.
+    rate_limit: float | None = None
+    # Statements that could not be decoded, with their values.
+    unreadable: tuple[str, ...] = ()
+
+    @property
+    def states_anything(self) -> bool:
+        """Return whether there is a statement beside the load."""
+        return self.rate_limit is not None or bool(self.unreadable)
+
+
+NO_NOTICE = Notice()
--- a/packages/forwarding/src/fireflyrack/forwarding/attempts.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/attempts.py
@@ -6,23 +6,12 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from fireflyrack.availability import NO_NOTICE, Notice
 from fireflyrack.discovery import BackendServer
 
 from .requests import CallerRequest, Headers
 
 
-@dataclass(frozen=True, slots=True)
-class Load:
-    """Load that a backend server reports with its responses.
-
-    All counts are requests; `slots` is how many the backend server runs at once.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclass(frozen=True, slots=True)
 class Completed:
     """Complete response of a backend server that executed the request."""
@@ -32,7 +21,7 @@
     body: bytes
     # Signature of the response by the backend server, empty if absent.
     signature: str
-    load: Load | None = None
+    notice: Notice = NO_NOTICE
 
     @property
     def succeeded(self) -> bool:
@@ -56,7 +45,7 @@
 
     reason: Refusal
     status: int
-    load: Load | None = None
+    notice: Notice = NO_NOTICE
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/forwarding/src/fireflyrack/forwarding/decisions.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/decisions.py
@@ -27,6 +27,7 @@
     observe_abandoned,
     observe_attempt,
     record_crash_evidence,
+    record_notice,
 )
 from .requests import Cause, NotRun
 from .sending import AttemptPurpose, hedge, no_server_cause, retry, select, send
@@ -79,7 +80,8 @@
         return Decision(state)
     latency_s = event.at - state.sent_at[attempt.id]
     observe_attempt(state, attempt, event.outcome, event.at)
-    actions = list(record_crash_evidence(event.outcome, state, attempt, event.at))
+    actions = list(record_notice(event.outcome, state, attempt, event.at))
+    actions += record_crash_evidence(event.outcome, state, attempt, event.at)
     log_attempt_end(state, attempt, event.outcome, latency_s)
     actions += apply_outcome(event.outcome, state, shard, event.at)
     return finish_or_wait(state, event.at, actions)
--- a/packages/forwarding/src/fireflyrack/forwarding/health.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/health.py
@@ -7,11 +7,12 @@
 from dataclasses import dataclass, field
 from functools import singledispatch
 
+from fireflyrack.availability import Load
+
 from .attempts import (
     AttemptOutcome,
     Completed,
     Interrupted,
-    Load,
     NotConnected,
     Refused,
     TimedOut,
@@ -237,7 +238,7 @@
 def _(outcome: Completed, server: ServerHealth, observation: Observation) -> None:
     at = observation.at
     server.last_response_at = at
-    record_load(server, outcome.load, at)
+    record_load(server, outcome.notice.load, at)
     server.record_outcome(not outcome.succeeded, at, FAILURE_WEIGHT)
     if outcome.succeeded:
         server.record_latency_ratio(observation.latency_s / observation.typical_s, at)
@@ -247,7 +248,7 @@
 @observe.register
 def _(outcome: Refused, server: ServerHealth, observation: Observation) -> None:
     server.last_response_at = observation.at
-    record_load(server, outcome.load, observation.at)
+    record_load(server, outcome.notice.load, observation.at)
     server.full_until = observation.at + FULL_QUEUE_TTL_S
     server.record_outcome(True, observation.at, FAILURE_WEIGHT / 2)
 
--- a/packages/forwarding/src/fireflyrack/forwarding/observations.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/observations.py
@@ -6,17 +6,40 @@
 from functools import singledispatch
 from typing import Any
 
+from fireflyrack.availability import NoticeReceived
+
 from .attempts import (
     Attempt,
     AttemptOutcome,
     Completed,
     Interrupted,
     NotConnected,
+    Refusal,
     Refused,
 )
 from .health import Observation, observe, record_abandoned
 from .log_events import AttemptFinished
-from .state import ProbeServer, RequestState
+from .state import ProbeServer, RecordNotice, RequestState
+
+
+@singledispatch
+def record_notice(
+    outcome: AttemptOutcome, state: RequestState, attempt: Attempt, at: float
+) -> tuple[RecordNotice, ...]:
+    """Return the action that applies the notice of a response, if one is due."""
+    return ()
+
+
+@record_notice.register(Completed)
+@record_notice.register(Refused)
+def _(
+    outcome: Completed | Refused, state: RequestState, attempt: Attempt, at: float
+) -> tuple[RecordNotice, ...]:
+    if isinstance(outcome, Refused) and outcome.reason is Refusal.REPLACED:
+        # Another server now uses the address; its response says nothing about this one.
+        return ()
+    event = NoticeReceived(at, attempt.server, outcome.notice)
+    return (RecordNotice(event),) if state.context.availability.concerns(event) else ()
 
 
 @singledispatch
--- a/packages/forwarding/src/fireflyrack/forwarding/runner.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/runner.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
+from fireflyrack.availability import NoticeReceived
 from fireflyrack.core import StateMachine
 from fireflyrack.discovery import BackendServer
 from fireflyrack.routing import Route, RoutingTable, SplitState, select_shards
@@ -33,6 +34,7 @@
     Finish,
     ForwardingContext,
     ProbeServer,
+    RecordNotice,
     RequestState,
     Send,
     SetTimer,
@@ -73,12 +75,14 @@
         self,
         context: ForwardingContext,
         transport: BackendTransport,
+        record_notice: Callable[[NoticeReceived], None],
         cluster_view: Callable[[], ClusterView],
         log: EventLog,
         metrics: ForwardingMetrics,
         now: Callable[[], float],
     ) -> None:
         self.context = context
+        self.record_notice = record_notice
         self.transport = transport
         self.cluster_view = cluster_view
         self.log = log
@@ -232,6 +236,10 @@
     def _(self, action: ProbeServer) -> None:
         self.runner.probe(action.server)
 
+    @perform.register
+    def _(self, action: RecordNotice) -> None:
+        self.runner.record_notice(action.event)
+
     @perform.register
     def _(self, action: SetTimer) -> None:
         if self.timer:
--- a/packages/forwarding/src/fireflyrack/forwarding/state.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/state.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from fireflyrack.availability import AvailabilityTable, NoticeReceived
 from fireflyrack.discovery import BackendServer
 from fireflyrack.routing import Route, SearchTarget
 
@@ -46,6 +47,7 @@
     """Objects that all requests of an instance share."""
 
     fleet: FleetHealth
+    availability: AvailabilityTable
     selection_context: SelectionContext
     servers_of: Callable[[str], tuple[BackendServer, ...]]
     # Returns whether this instance is short of CPU time.
@@ -128,6 +130,13 @@
     server: BackendServer
 
 
+@dataclass(frozen=True, slots=True)
+class RecordNotice:
+    """Apply what a response states about its backend server."""
+
+    event: NoticeReceived
+
+
 @dataclass(frozen=True, slots=True)
 class SetTimer:
     """Feed TimerFired at a given time; replaces the timer of an earlier SetTimer."""
--- a/packages/forwarding/tests/forwarding_cases.py
+++ b/packages/forwarding/tests/forwarding_cases.py
@@ -4,6 +4,7 @@
 
 import random
 
+from fireflyrack.availability import AvailabilityTable
 from fireflyrack.discovery import BackendServer, ServerState
 from fireflyrack.forwarding import (
     BudgetLimits,
@@ -69,6 +70,7 @@
             name: tuple(server(name, i) for i in range(replicas)) for name in services
         }
         self.fleet = FleetHealth(BudgetLimits(0.2, burst, 10.0))
+        self.availability = AvailabilityTable()
         route = Route(
             "r", "h", "/", target, idempotent, DEADLINE_S, OBJECTIVE_S, 1, max_attempts
         )
@@ -79,6 +81,7 @@
             shards=tuple(ShardProgress(name, 100) for name in services),
             context=ForwardingContext(
                 self.fleet,
+                self.availability,
                 SelectionContext("d0", random.Random(1)),
                 lambda name: self.servers.get(name, ()),
                 lambda: self.overloaded,
--- a/packages/forwarding/tests/test_choice.py
+++ b/packages/forwarding/tests/test_choice.py
@@ -5,11 +5,11 @@
 import pytest
 from forwarding_cases import server
 
+from fireflyrack.availability import Load
 from fireflyrack.forwarding import (
     BudgetLimits,
     FleetHealth,
     Interrupted,
-    Load,
     NotConnected,
     SelectionContext,
 )
--- a/packages/gateway/src/fireflyrack/gateway/instance.py
+++ b/packages/gateway/src/fireflyrack/gateway/instance.py
@@ -10,6 +10,8 @@
 
 from prometheus_client import CollectorRegistry
 
+from fireflyrack import availability
+from fireflyrack.availability import AvailabilityTable
 from fireflyrack.core import StateMachine, steady_now
 from fireflyrack.discovery import (
     REREGISTRATION_GRACE_S,
@@ -112,6 +114,12 @@
         )
         self.fleet.set_instance_count(INITIAL_INSTANCE_COUNT)
         self.crashes = CrashTracker()
+        self.availability = StateMachine(
+            AvailabilityTable(),
+            availability.decide,
+            log.record,
+        )
+        availability.register_metrics(self.registry, self.availability.state)
         self.overload = StateMachine(
             overload.OverloadState(), overload.decide, self.publish_overload
         )
@@ -165,12 +173,14 @@
         self.runner = RequestRunner(
             ForwardingContext(
                 self.fleet,
+                self.availability.state,
                 SelectionContext(settings.failure_domain, self.rng),
                 self.server_index.servers_of,
                 lambda: self.overload.state.overloaded,
                 self.crashes,
             ),
             ports.transport,
+            self.availability.feed,
             self.cluster_view,
             log,
             self.metrics,
@@ -347,6 +357,7 @@
             removal.value.id, removal.value.incarnation, self.now()
         )
         self.fleet.remove_server(removal.value.id)
+        self.availability.feed(availability.ServerRemoved(removal.value))
 
     def update_instance_count(self) -> None:
         """Divide the fleet-wide limits among the known instances."""
