Keep the rate limit that a backend server names, all instances together

What callers saw: nothing yet, but a server in need got up to 1.6 times the bound of the users (248 requests in 4 s where 160 are allowed), so it would be lost when it most needs the limit.

Cause: the limit was not read, and no decision knew a share of it. It is one figure for the whole fleet, so an instance that keeps it alone would exceed it by the number of instances. Ruled out: hedges and retries (5% of arrivals).

Each instance sends at most its share: permits at even intervals, with phases by rank, that lapse unused after 0.5 s, so that a burst finds no saved permits. While requests are refused for lack of permits one is kept, since a search needs permits of all its shards at once. Departed instances count as sharers for 10 s. First attempts, hedges and retries ask the same table; a refused search uses no permit, and callers are told when enough shards have one.

--- a/packages/availability/src/fireflyrack/availability/__init__.py
+++ b/packages/availability/src/fireflyrack/availability/__init__.py
@@ -1,6 +1,7 @@
-"""What backend servers state about themselves.
+"""What backend servers state about themselves, and when they take requests.
 
-The adapter decodes responses into notices; an AvailabilityTable keeps what they state.
+Selection, hedges, retries and searches ask one AvailabilityTable. It knows nothing of
+wire formats and sockets; the adapter decodes responses into notices.
 """
 
 from __future__ import annotations
@@ -9,18 +10,24 @@
 from .notices import NO_NOTICE, Load, Notice, Source
 from .servers import (
     AvailabilityTable,
+    InstancesCounted,
     NoticeReceived,
+    Obstacle,
     ServerRemoved,
     decide,
 )
+from .sharers import SharerCount
 
 __all__ = [
     "NO_NOTICE",
     "AvailabilityTable",
+    "InstancesCounted",
     "Load",
     "Notice",
     "NoticeReceived",
+    "Obstacle",
     "ServerRemoved",
+    "SharerCount",
     "Source",
     "decide",
     "register_metrics",
--- a/packages/availability/src/fireflyrack/availability/log_events.py
+++ b/packages/availability/src/fireflyrack/availability/log_events.py
@@ -21,6 +21,8 @@
     source: str
     # How long the previous limit was in force.
     held_s: float
+    # Instances that divide the limit.
+    sharers: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/availability/src/fireflyrack/availability/metrics.py
+++ b/packages/availability/src/fireflyrack/availability/metrics.py
@@ -4,14 +4,18 @@
 
 from prometheus_client import CollectorRegistry, Gauge
 
-from .servers import AvailabilityTable
+from .servers import AvailabilityTable, Obstacle
 
 
 def register_metrics(registry: CollectorRegistry, table: AvailabilityTable) -> None:
-    """Register a gauge of the backend servers that name a rate limit."""
+    """Register a gauge of the backend servers that restrict their requests."""
     gauge = Gauge(
-        "fireflyrack_rate_limited_servers",
-        "Backend servers that name a rate limit.",
+        "fireflyrack_restricted_servers",
+        "Backend servers that have stated a restriction, by its kind.",
+        ("restriction",),
         registry=registry,
     )
-    gauge.set_function(lambda: table.rate_limited)
+    for obstacle in Obstacle:
+        gauge.labels(obstacle.value).set_function(
+            lambda obstacle=obstacle: table.count(obstacle)
+        )
--- a/packages/availability/src/fireflyrack/availability/servers.py
+++ b/packages/availability/src/fireflyrack/availability/servers.py
@@ -2,14 +2,25 @@
 
 from __future__ import annotations
 
+import enum
+import random
 from dataclasses import dataclass, field
 from functools import singledispatch
 
 from fireflyrack.core import Decision
-from fireflyrack.discovery import BackendServer
+from fireflyrack.discovery import BackendServer, ServerState
 
 from .log_events import RateLimitChanged, StatementIgnored
 from .notices import Notice, Source
+from .quotas import PacedQuota, interval_of, open_quota
+from .sharers import SharerCount
+
+
+class Obstacle(enum.Enum):
+    """Reason why a backend server must not get a request now."""
+
+    DRAINING = "draining"
+    RATE_LIMITED = "rate limited"
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,6 +32,16 @@
     notice: Notice
 
 
+@dataclass(frozen=True, slots=True)
+class InstancesCounted:
+    """Event: the number of registered entry instances changed."""
+
+    at: float
+    instances: int
+    # Position of this instance among them, from 0.
+    rank: int
+
+
 @dataclass(frozen=True, slots=True)
 class ServerRemoved:
     """Event: a backend server is no longer registered."""
@@ -30,7 +51,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RateLimit:
-    """Rate limit that a backend server names."""
+    """Rate limit of a backend server and this instance's share of it."""
 
     # Requests per second from all instances together.
     rate_per_s: float
@@ -38,6 +59,7 @@
     # Time at which the server was first and last observed to state it.
     since: float
     confirmed_at: float
+    quota: PacedQuota
 
 
 @dataclass(slots=True)
@@ -48,9 +70,9 @@
     rate_limit: RateLimit | None = None
 
     @property
-    def empty(self) -> bool:
-        """Return whether the server has stated nothing that still holds."""
-        return self.rate_limit is None
+    def obstacles(self) -> tuple[Obstacle, ...]:
+        """Return the kinds of statements that hold."""
+        return () if self.rate_limit is None else (Obstacle.RATE_LIMITED,)
 
 
 @dataclass(slots=True)
@@ -60,12 +82,13 @@
     Servers without statements have no entry, so that a check of them is one lookup.
     """
 
+    rng: random.Random
+    sharers: SharerCount
     servers: dict[str, StatedServer] = field(default_factory=dict)
 
-    @property
-    def rate_limited(self) -> int:
-        """Return how many servers name a rate limit."""
-        return sum(s.rate_limit is not None for s in self.servers.values())
+    def count(self, obstacle: Obstacle) -> int:
+        """Return how many servers have stated a reason not to send to them freely."""
+        return sum(obstacle in stated.obstacles for stated in self.servers.values())
 
     def find(self, server: BackendServer) -> StatedServer | None:
         """Return the statements of this incarnation of a server, if any."""
@@ -78,6 +101,54 @@
         """Return whether a notice states something or ends an earlier statement."""
         return event.notice.states_anything or self.find(event.server) is not None
 
+    def obstacle(self, server: BackendServer, at: float) -> Obstacle | None:
+        """Return why a server must not get a request now, None if it may."""
+        if server.state is not ServerState.READY:
+            return Obstacle.DRAINING
+        quota = self.quota(server, at)
+        if quota is not None and not quota.available(at):
+            return Obstacle.RATE_LIMITED
+        return None
+
+    def available_at(self, server: BackendServer, at: float) -> float | None:
+        """Return when a server takes the next request, None if it takes no more."""
+        if server.state is not ServerState.READY:
+            return None
+        quota = self.quota(server, at)
+        return at if quota is None else quota.available_at(at)
+
+    def quota(self, server: BackendServer, at: float) -> PacedQuota | None:
+        """Return the quota of a server that limits its rate, at the current share."""
+        stated = self.find(server)
+        if stated is None or stated.rate_limit is None:
+            return None
+        limit = stated.rate_limit
+        interval_s = interval_of(limit.rate_per_s, self.sharers.at(at))
+        if interval_s != limit.quota.interval_s:
+            limit.quota.set_interval(interval_s, at)
+        return limit.quota
+
+    def record_sent(self, server: BackendServer, at: float) -> None:
+        """Count a request that is sent to a server."""
+        quota = self.quota(server, at)
+        if quota is not None:
+            quota.take()
+
+    def record_not_sent(self, server: BackendServer, at: float) -> None:
+        """Discount a request that did not reach its server."""
+        quota = self.quota(server, at)
+        if quota is not None:
+            quota.refund()
+
+    def record_unmet_demand(
+        self, servers: tuple[BackendServer, ...], at: float
+    ) -> None:
+        """Record that a request was refused that needed one of some servers."""
+        for server in servers:
+            quota = self.quota(server, at)
+            if quota is not None:
+                quota.record_unmet_demand(at)
+
 
 @singledispatch
 def decide(event: object, table: AvailabilityTable) -> Decision[AvailabilityTable]:
@@ -96,11 +167,17 @@
         stated = table.servers[server.id] = StatedServer(server.incarnation)
     if not notice.unreadable:
         events += apply_rate_limit(stated, event, table)
-    if stated.empty:
+    if not stated.obstacles:
         del table.servers[server.id]
     return Decision(table, tuple(events))
 
 
+@decide.register
+def _(event: InstancesCounted, table: AvailabilityTable) -> Decision[AvailabilityTable]:
+    table.sharers.set(event.instances, event.rank, event.at)
+    return Decision(table)
+
+
 @decide.register
 def _(event: ServerRemoved, table: AvailabilityTable) -> Decision[AvailabilityTable]:
     if table.find(event.server) is not None:
@@ -117,9 +194,13 @@
     if rate is None:
         stated.rate_limit = None
     elif previous is None:
-        stated.rate_limit = RateLimit(rate, Source.RESPONSE, at, at)
+        sharers = table.sharers
+        quota = open_quota(rate, sharers.at(at), sharers.rank, at, table.rng)
+        stated.rate_limit = RateLimit(rate, Source.RESPONSE, at, at, quota)
     else:
-        stated.rate_limit = RateLimit(rate, Source.RESPONSE, previous.since, at)
+        stated.rate_limit = RateLimit(
+            rate, Source.RESPONSE, previous.since, at, previous.quota
+        )
     previous_rate = previous.rate_per_s if previous else None
     if rate == previous_rate:
         return []
@@ -131,5 +212,6 @@
             previous_per_s=previous_rate,
             source=Source.RESPONSE.value,
             held_s=at - previous.since if previous else 0.0,
+            sharers=table.sharers.at(at),
         )
     ]
--- a/packages/availability/tests/test_servers.py
+++ b/packages/availability/tests/test_servers.py
@@ -1,10 +1,15 @@
 from __future__ import annotations
 
+import dataclasses
+import random
+
 from fireflyrack.availability import (
     AvailabilityTable,
     Notice,
     NoticeReceived,
+    Obstacle,
     ServerRemoved,
+    SharerCount,
     decide,
 )
 from fireflyrack.availability.log_events import RateLimitChanged, StatementIgnored
@@ -13,13 +18,17 @@
 SERVER = BackendServer("s-1", "s", "10.0.0.1:80", "d", 2, ServerState.READY)
 
 
+def make_table(instances: int = 1) -> AvailabilityTable:
+    return AvailabilityTable(random.Random(1), SharerCount(instances))
+
+
 def receive(table: AvailabilityTable, notice: Notice, at: float = 1.0) -> tuple:
     return decide(NoticeReceived(at, SERVER, notice), table).actions
 
 
 def test_each_change_of_a_rate_limit_is_logged_once():
     """Guards against a limit that no line explains, and against a line per response."""
-    table = AvailabilityTable()
+    table = make_table()
     (named,) = receive(table, Notice(rate_limit=8.0), 1.0)
     assert isinstance(named, RateLimitChanged)
     assert (named.rate_per_s, named.previous_per_s) == (8.0, None)
@@ -33,7 +42,7 @@
 
 def test_an_unreadable_statement_is_logged_and_changes_nothing():
     """Guards against a malformed value that lifts a limit or raises an error."""
-    table = AvailabilityTable()
+    table = make_table()
     receive(table, Notice(rate_limit=8.0))
     (ignored,) = receive(table, Notice(unreadable=("limit: x",)))
     assert ignored == StatementIgnored("s-1", "limit: x")
@@ -42,7 +51,46 @@
 
 def test_statements_of_a_removed_server_are_dropped():
     """Guards against a table that grows with each server that ever existed."""
-    table = AvailabilityTable()
+    table = make_table()
     receive(table, Notice(rate_limit=8.0))
     decide(ServerRemoved(SERVER), table)
     assert not table.servers
+
+
+def test_a_limited_server_takes_no_burst_at_the_first_notice():
+    """Guards against all instances sending at once when a limit begins."""
+    table = make_table(instances=4)
+    receive(table, Notice(rate_limit=2.0), 1.0)
+    assert table.obstacle(SERVER, 1.0) is Obstacle.RATE_LIMITED
+    assert 1.0 < table.available_at(SERVER, 1.0) <= 3.0
+
+
+def test_a_limit_ends_with_the_first_response_without_it():
+    """Guards against a server that stays restricted after it has recovered."""
+    table = make_table(instances=4)
+    receive(table, Notice(rate_limit=0.5), 1.0)
+    receive(table, Notice(), 2.0)
+    assert table.obstacle(SERVER, 2.0) is None
+
+
+def test_a_new_incarnation_is_not_bound_by_the_limit_of_the_last():
+    """Guards against a restarted server that gets next to nothing."""
+    table = make_table(instances=4)
+    receive(table, Notice(rate_limit=0.5), 1.0)
+    restarted = dataclasses.replace(SERVER, incarnation=1)
+    assert table.obstacle(restarted, 1.0) is None
+
+
+def test_a_limit_of_zero_still_lets_a_request_through_from_time_to_time():
+    """Guards against a limit whose end nobody notices."""
+    table = make_table()
+    receive(table, Notice(rate_limit=0.0), 1.0)
+    assert table.available_at(SERVER, 1.0) <= 5.0
+
+
+def test_a_draining_server_takes_no_request_at_any_time():
+    """Guards against callers that are told to come back for a server that leaves."""
+    table = make_table()
+    draining = dataclasses.replace(SERVER, state=ServerState.DRAINING)
+    assert table.obstacle(draining, 1.0) is Obstacle.DRAINING
+    assert table.available_at(draining, 1.0) is None
--- a/packages/forwarding/src/fireflyrack/forwarding/answers.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/answers.py
@@ -8,22 +8,19 @@
 
 from .attempts import Completed
 from .merge import top_records
+from .refusals import retry_after_s
 from .requests import Answer, Cause, Merged, NotRun, Relayed, Unknown
-from .state import RequestState
+from .state import RequestState, required_shards
 
 # Statuses that tell the caller that the request was not executed. A backend server that
 # did execute it may still respond with one of them, which must not be relayed.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
-def final_answer(state: RequestState, required: int, retry_after_s: float) -> Answer:
-    """Return the answer to a request that needs no further events.
-
-    `required` is the number of shards that a result needs.
-    """
-    return answer_from_results(
-        state.route.target, state, required
-    ) or answer_without_result(state, retry_after_s)
+def final_answer(state: RequestState, at: float) -> Answer:
+    """Return the answer to a request that needs no further events."""
+    answer = answer_from_results(state.route.target, state, required_shards(state))
+    return answer or answer_without_result(state, at)
 
 
 @singledispatch
@@ -65,10 +62,10 @@
     return response.status >= 300 and response.status not in NOT_RUN_STATUSES
 
 
-def answer_without_result(state: RequestState, retry_after_s: float) -> Answer:
+def answer_without_result(state: RequestState, at: float) -> Answer:
     """Return the answer to a request that has no result."""
     causes = [shard.cause for shard in state.shards if shard.cause is not None]
     cause = causes[0] if causes else Cause.TIMED_OUT
     if any(shard.may_have_run for shard in state.shards):
         return Unknown(Cause.COVERAGE if state.search and len(causes) > 1 else cause)
-    return NotRun(cause, retry_after_s)
+    return NotRun(cause, retry_after_s(state, at))
--- a/packages/forwarding/src/fireflyrack/forwarding/choice.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/choice.py
@@ -5,7 +5,8 @@
 import random
 from dataclasses import dataclass, replace
 
-from fireflyrack.discovery import BackendServer, ServerState
+from fireflyrack.availability import AvailabilityTable
+from fireflyrack.discovery import BackendServer
 
 from .fleet import FleetHealth
 from .health import ServerHealth
@@ -69,6 +70,7 @@
     selection_context: SelectionContext,
     servers: tuple[BackendServer, ...],
     fleet: FleetHealth,
+    availability: AvailabilityTable,
     max_connections: int,
     excluded: frozenset[str],
     at: float,
@@ -78,7 +80,7 @@
     best: Selection | None = None
     candidates = 0
     for server in servers:
-        if server.state is not ServerState.READY or server.id in excluded:
+        if server.id in excluded or availability.obstacle(server, at) is not None:
             continue
         health = fleet.server(server.id)
         if len(health.outstanding) >= limit:
--- a/packages/forwarding/src/fireflyrack/forwarding/decisions.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/decisions.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 from functools import singledispatch
 from typing import Any
 
@@ -29,6 +28,7 @@
     record_crash_evidence,
     record_notice,
 )
+from .refusals import record_unmet_demand, retry_after_s
 from .requests import Cause, NotRun
 from .sending import AttemptPurpose, hedge, no_server_cause, retry, select, send
 from .state import (
@@ -41,11 +41,9 @@
     ShardProgress,
     Started,
     TimerFired,
+    required_shards,
 )
 
-# Retry delay for callers whose request found the service full or unavailable.
-RETRY_AFTER_S = 0.2
-
 
 @singledispatch
 def decide(event: object, state: RequestState) -> Decision[RequestState]:
@@ -60,11 +58,15 @@
     for shard, selection in zip(state.shards, selections, strict=True):
         state.context.fleet.budget(shard.service).record_request(event.at)
         if selection is None:
-            shard.cause = no_server_cause(state, shard)
+            shard.cause = no_server_cause(state, shard, event.at)
+    unserved = tuple(shard for shard in state.shards if shard.cause is not None)
     if usable < required_shards(state):
         state.finished = True
-        cause = next(s.cause for s in state.shards if s.cause is not None)
-        return Decision(state, (Finish(NotRun(cause, RETRY_AFTER_S)),))
+        # The permits that this search found are kept for its repetition.
+        record_unmet_demand(state, state.shards, event.at)
+        refusal = NotRun(unserved[0].cause, retry_after_s(state, event.at))
+        return Decision(state, (Finish(refusal),))
+    record_unmet_demand(state, unserved, event.at)
     actions = [
         send(state, number, selection, event.at, AttemptPurpose.FIRST)
         for number, selection in enumerate(selections)
@@ -174,15 +176,6 @@
     return retry(state, shard, at, state.route.idempotent)
 
 
-def required_shards(state: RequestState) -> int:
-    """Return how many shards must respond for a result."""
-    search = state.search
-    if search is None:
-        return 1
-    # Coverage is a decimal fraction; without the tolerance 0.28 * 25 rounds up to 8.
-    return max(1, math.ceil(search.minimum_coverage * len(state.shards) - 1e-9))
-
-
 def finish_or_wait(
     state: RequestState, at: float, actions: list[Any]
 ) -> Decision[RequestState]:
@@ -209,7 +202,7 @@
             shard.may_have_run = True
             shard.cause = shard.cause or Cause.TIMED_OUT
     cancelled = cancel_open(state, at)
-    answer = final_answer(state, required_shards(state), RETRY_AFTER_S)
+    answer = final_answer(state, at)
     return Decision(state, (*cancelled, Finish(answer)))
 
 
--- a/packages/forwarding/src/fireflyrack/forwarding/observations.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/observations.py
@@ -83,6 +83,7 @@
 ) -> tuple[Any, ...]:
     server = attempt.server
     state.context.crashes.record_unavailable(server.id, server.incarnation, at)
+    state.context.availability.record_not_sent(server, at)
     return ()
 
 
--- a/packages/forwarding/src/fireflyrack/forwarding/sending.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/sending.py
@@ -6,11 +6,12 @@
 import math
 from typing import Any
 
-from fireflyrack.discovery import ServerState
+from fireflyrack.availability import Obstacle
 
 from .attempts import Attempt
 from .choice import Selection, select_server
 from .log_events import AttemptSent, ExtraAttemptWithheld
+from .refusals import record_unmet_demand
 from .requests import Cause
 from .state import RequestState, Send, ShardProgress
 
@@ -38,19 +39,24 @@
         context.selection_context,
         context.servers_of(shard.service),
         context.fleet,
+        context.availability,
         shard.max_connections,
         frozenset(shard.tried),
         at,
     )
 
 
-def no_server_cause(state: RequestState, shard: ShardProgress) -> Cause:
+def no_server_cause(state: RequestState, shard: ShardProgress, at: float) -> Cause:
     """Return why no backend server is available for the first attempt of a shard."""
     known = state.context.servers_of(shard.service)
     if not known:
         return Cause.NO_SERVER
-    if all(server.state is not ServerState.READY for server in known):
+    availability = state.context.availability
+    obstacles = {availability.obstacle(server, at) for server in known}
+    if obstacles == {Obstacle.DRAINING}:
         return Cause.ALL_DRAINING
+    if None not in obstacles:
+        return Cause.RATE_LIMITED
     return Cause.SATURATED
 
 
@@ -75,6 +81,7 @@
     remaining_s = state.cutoff_at - at if state.search else math.inf
     hedge_at = at + route.hedge_after_s(remaining_s)
     shard.hedge_at = hedge_at if hedgeable and single else None
+    state.context.availability.record_sent(selection.server, at)
     fleet.server(selection.server.id).start(
         (id(state), attempt.id), at, route.hedge_delay_s
     )
@@ -154,6 +161,7 @@
     selection = select(state, shard, at)
     if selection is None:
         reason = "no other backend server"
+        record_unmet_demand(state, (shard,), at)
     elif at + MIN_ATTEMPT_S >= state.deadline_at:
         reason = "no time left"
     elif shard.attempts and not fleet.budget(shard.service).try_spend(at, hedge=False):
--- a/packages/forwarding/src/fireflyrack/forwarding/state.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -79,6 +80,15 @@
         return target if isinstance(target, SearchTarget) else None
 
 
+def required_shards(state: RequestState) -> int:
+    """Return how many shards must respond for a result."""
+    search = state.search
+    if search is None:
+        return 1
+    # Coverage is a decimal fraction; without the tolerance 0.28 * 25 rounds up to 8.
+    return max(1, math.ceil(search.minimum_coverage * len(state.shards) - 1e-9))
+
+
 @dataclass(frozen=True, slots=True)
 class Started:
     """The request was received."""
--- a/packages/forwarding/tests/forwarding_cases.py
+++ b/packages/forwarding/tests/forwarding_cases.py
@@ -4,7 +4,7 @@
 
 import random
 
-from fireflyrack.availability import AvailabilityTable
+from fireflyrack.availability import AvailabilityTable, SharerCount
 from fireflyrack.discovery import BackendServer, ServerState
 from fireflyrack.forwarding import (
     BudgetLimits,
@@ -44,6 +44,11 @@
     return BackendServer(**{**values, **changes})
 
 
+def open_availability() -> AvailabilityTable:
+    """Return the table of an instance that knows of no restrictions."""
+    return AvailabilityTable(random.Random(2), SharerCount(1))
+
+
 def record(number: int) -> bytes:
     return number.to_bytes(16, "big")
 
@@ -70,7 +75,7 @@
             name: tuple(server(name, i) for i in range(replicas)) for name in services
         }
         self.fleet = FleetHealth(BudgetLimits(0.2, burst, 10.0))
-        self.availability = AvailabilityTable()
+        self.availability = open_availability()
         route = Route(
             "r", "h", "/", target, idempotent, DEADLINE_S, OBJECTIVE_S, 1, max_attempts
         )
--- a/packages/forwarding/tests/test_choice.py
+++ b/packages/forwarding/tests/test_choice.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from forwarding_cases import server
+from forwarding_cases import open_availability, server
 
 from fireflyrack.availability import Load
 from fireflyrack.forwarding import (
@@ -27,7 +27,7 @@
     selection_context: SelectionContext = SELECTION_CONTEXT,
 ):
     return select_server(
-        selection_context, SERVERS, fleet, 100, frozenset(), at
+        selection_context, SERVERS, fleet, open_availability(), 100, frozenset(), at
     ).server.id
 
 
--- a/packages/forwarding/tests/test_health.py
+++ b/packages/forwarding/tests/test_health.py
@@ -8,7 +8,7 @@
 
 import random
 
-from forwarding_cases import Case, completed, server
+from forwarding_cases import Case, completed, open_availability, server
 
 from fireflyrack.forwarding import (
     BudgetLimits,
@@ -28,7 +28,7 @@
 def select(fleet: FleetHealth, at: float) -> str:
     selection_context = SelectionContext("d0", random.Random(1))
     return select_server(
-        selection_context, SERVERS, fleet, 100, frozenset(), at
+        selection_context, SERVERS, fleet, open_availability(), 100, frozenset(), at
     ).server.id
 
 
--- a/packages/forwarding/tests/test_reports.py
+++ b/packages/forwarding/tests/test_reports.py
@@ -4,7 +4,7 @@
 
 import random
 
-from forwarding_cases import Case, completed, server
+from forwarding_cases import Case, completed, open_availability, server
 
 from fireflyrack.forwarding import (
     BudgetLimits,
@@ -30,7 +30,7 @@
 def select(fleet: FleetHealth, at: float = 1.0) -> str:
     selection_context = SelectionContext("d0", random.Random(1))
     return select_server(
-        selection_context, SERVERS, fleet, 100, frozenset(), at
+        selection_context, SERVERS, fleet, open_availability(), 100, frozenset(), at
     ).server.id
 
 
--- a/packages/gateway/src/fireflyrack/gateway/instance.py
+++ b/packages/gateway/src/fireflyrack/gateway/instance.py
@@ -11,7 +11,7 @@
 from prometheus_client import CollectorRegistry
 
 from fireflyrack import availability
-from fireflyrack.availability import AvailabilityTable
+from fireflyrack.availability import AvailabilityTable, SharerCount
 from fireflyrack.core import StateMachine, steady_now
 from fireflyrack.discovery import (
     REREGISTRATION_GRACE_S,
@@ -115,7 +115,7 @@
         self.fleet.set_instance_count(INITIAL_INSTANCE_COUNT)
         self.crashes = CrashTracker()
         self.availability = StateMachine(
-            AvailabilityTable(),
+            AvailabilityTable(self.rng, SharerCount(INITIAL_INSTANCE_COUNT)),
             availability.decide,
             log.record,
         )
@@ -361,13 +361,17 @@
 
     def update_instance_count(self) -> None:
         """Divide the fleet-wide limits among the known instances."""
-        known = set(self.instance_cache.table.entries) | {
-            instance_key(self.settings.id)
-        }
+        own_key = instance_key(self.settings.id)
+        known = sorted({own_key, *self.instance_cache.table.entries})
         if len(known) != self.fleet.instances:
             self.fleet.set_instance_count(len(known))
+            self.availability.feed(
+                availability.InstancesCounted(
+                    self.now(), len(known), known.index(own_key)
+                )
+            )
             self.metrics.instances.set(len(known))
-            event = InstancesChanged(tuple(sorted(known)), len(known))
+            event = InstancesChanged(tuple(known), len(known))
             self.log.record(event)
 
     async def monitor_loop_lag(self) -> None:
--- a/tests/platform/stand_in_server.py
+++ b/tests/platform/stand_in_server.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+from fireflyrack.core import steady_now
 from fireflyrack.platform import names
 
 
@@ -20,6 +21,8 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    # Monotonic time in seconds.
+    received_at: float = field(default_factory=steady_now)
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,6 +158,19 @@
     return Reply(encode_response(request, server.body, headers=signature))
 
 
+def stating(headers: dict[str, str]) -> Behaviour:
+    """Return a behaviour that adds headers to each answer; the dict may change."""
+
+    async def answer_with_headers(
+        server: StandInServer, request: ReceivedRequest
+    ) -> Reply:
+        whole = await answer(server, request)
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        return Reply(whole.data.replace(b"\r\n", b"\r\n" + lines.encode(), 1))
+
+    return answer_with_headers
+
+
 async def shed(server: StandInServer, request: ReceivedRequest) -> Reply:
     """Refuse a request as not executed."""
     refused = encode_response(
