Log when the metadata store was restored from a backup

The replies of the store count its restorations in a header that nothing read, so the logs could not tell a change that the instances skipped from one that was never written. The store client reports it from each reply, also from refusals; store_restored names the era and the revision up to which changes had been applied. No decision uses it yet.

--- a/packages/discovery/src/fireflyrack/discovery/__init__.py
+++ b/packages/discovery/src/fireflyrack/discovery/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .entries import REREGISTRATION_GRACE_S, EntryChanged, EntryRemoved, EntryTable
+from .era import StoreEra
 from .health import StoreHealth
 from .prefix_cache import PrefixCache
 from .registration import Registration, RegistrationEntry
@@ -36,6 +37,7 @@
     "Registration",
     "RegistrationEntry",
     "ServerState",
+    "StoreEra",
     "StoreError",
     "StoreHealth",
     "StoreProblem",
--- a/packages/discovery/src/fireflyrack/discovery/log_events.py
+++ b/packages/discovery/src/fireflyrack/discovery/log_events.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
-from fireflyrack.telemetry import LogEvent, Severity, severity_of
+from fireflyrack.telemetry import Importance, LogEvent, Severity, severity_of
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +39,17 @@
     after_revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoreRestored(LogEvent):
+    """The store was restored from a backup and lacks its last writes."""
+
+    kind: ClassVar[str] = "store_restored"
+    importance: ClassVar[Importance] = Importance.LIFECYCLE
+    era: int
+    # Revision up to which changes had been applied; 0 if none was known.
+    after_revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class StoreCallFailed(LogEvent):
     """A call to the store failed."""
@@ -50,5 +61,5 @@
 
 
 @severity_of.register
-def _(event: EntryRejected | HistoryLost | StoreCallFailed) -> Severity:
+def _(event: EntryRejected | HistoryLost | StoreCallFailed | StoreRestored) -> Severity:
     return Severity.WARNING
--- a/packages/discovery/src/fireflyrack/discovery/store.py
+++ b/packages/discovery/src/fireflyrack/discovery/store.py
@@ -8,6 +8,8 @@
 
 from fireflyrack.core import Outcome
 
+from .era import StoreEra
+
 
 @dataclass(frozen=True, slots=True)
 class Item:
@@ -35,6 +37,8 @@
 
     items: tuple[Item, ...]
     revision: int
+    # Era of the store that listed them, None if it states none.
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +47,8 @@
 
     changes: tuple[Item | Deletion, ...]
     revision: int
+    # Era of the store that reported them, None if it states none.
+    era: int | None = None
 
 
 class StoreProblem(enum.Enum):
@@ -83,6 +89,8 @@
 class MetadataStore(Protocol):
     """Client of the metadata store; each call returns an outcome and never raises."""
 
+    era: StoreEra
+
     async def list(
         self, prefix: str, stale: bool = False
     ) -> Outcome[Listing, StoreError]:
--- a/packages/discovery/src/fireflyrack/discovery/watcher.py
+++ b/packages/discovery/src/fireflyrack/discovery/watcher.py
@@ -12,7 +12,7 @@
 from fireflyrack.telemetry import EventLog
 
 from .health import StoreHealth
-from .log_events import HistoryLost, StoreCallFailed
+from .log_events import HistoryLost, StoreCallFailed, StoreRestored
 from .prefix_cache import PrefixCache
 from .store import MetadataStore, StoreError, StoreProblem
 
@@ -103,6 +103,11 @@
         self.delays = WatchDelays(propagation_bound_s)
         self.watch: asyncio.Task[bool] | None = None
         health.listeners.append(self.on_store_health)
+        store.era.listeners.append(self.on_store_restored)
+
+    def on_store_restored(self) -> None:
+        """Log that the store has lost its last writes."""
+        self.log.record(StoreRestored(self.store.era.current, self.revision or 0))
 
     def on_store_health(self, available: bool) -> None:
         """Restart the watch after an outage: its pending reply may be lost."""
--- a/packages/discovery/tests/test_watcher.py
+++ b/packages/discovery/tests/test_watcher.py
@@ -13,6 +13,7 @@
     Item,
     Listing,
     PrefixCache,
+    StoreEra,
     StoreError,
     StoreHealth,
     StoreProblem,
@@ -40,6 +41,7 @@
     """Return scripted outcomes; a watch without one blocks."""
 
     def __init__(self) -> None:
+        self.era = StoreEra()
         # None makes list calls fail.
         self.listing = Listing((Item("a/1", b"1", 5), Item("c/1", b"1", 5)), 9)
         self.stale = Listing((Item("a/1", b"0", 2),), 3)
--- a/tests/platform/stand_in_store.py
+++ b/tests/platform/stand_in_store.py
@@ -12,6 +12,7 @@
 
 from fireflyrack.core import steady_now
 from fireflyrack.gateway import HttpServer
+from fireflyrack.platform import names
 
 PAGE_SIZE = 50
 POLL_INTERVAL_S = 0.02
@@ -48,6 +49,7 @@
         self.address = address
         self.items: dict[str, StoredItem] = {}
         self.revision = 1
+        self.era = 1
         self.events: list[dict] = []
         self.compacted_revision = 0
         self.leases: dict[int, tuple[float, float]] = {}
@@ -115,6 +117,7 @@
         """Handle one call with the active faults."""
         call = request.path.split("/")[2]
         self.faults.calls[call] = self.faults.calls.get(call, 0) + 1
+        response.set_header(names.STORE_ERA, str(self.era))
         if self.faults.refuse_with:
             response.status = self.faults.refuse_with
             return
