List the store anew when it was restored from a backup

Cause: a revision names a state only within one history of the store. After a restoration revisions are given out again. Once the store has written past the revision that an instance watches from, its watch succeeds and waits, and what was written before is never seen; the 410 warns only while the store is behind. Ruled out: an older version in force (versions never go back on a running instance), and a change that was not written (the store acknowledged it).

The watcher keeps the era that its revision belongs to. A reply with another era, to any call of this instance, discards the revision and cancels a waiting watch; the reply that shows the restoration, and late ones from before it, are not applied. A listing whose pages span a restoration is repeated.

--- a/packages/discovery/src/fireflyrack/discovery/store.py
+++ b/packages/discovery/src/fireflyrack/discovery/store.py
@@ -60,7 +60,8 @@
     RATE_LIMITED = "rate limited"
     # No reply was received; a write may have taken effect or may still do so.
     UNKNOWN = "unknown"
-    # A watch asked for changes that the store has compacted.
+    # A watch asked for changes that the store has compacted, or the store was restored
+    # during the call.
     HISTORY_LOST = "history lost"
     # A condition of a write did not hold.
     CONFLICT = "conflict"
--- a/packages/discovery/src/fireflyrack/discovery/watcher.py
+++ b/packages/discovery/src/fireflyrack/discovery/watcher.py
@@ -100,14 +100,23 @@
         self.prefix = os.path.commonprefix([c.prefix for c in caches])
         # Store revision to watch from, None if a listing is needed first.
         self.revision: int | None = None
+        # Era of the store that this revision belongs to, None if it states none.
+        self.era: int | None = None
         self.delays = WatchDelays(propagation_bound_s)
         self.watch: asyncio.Task[bool] | None = None
         health.listeners.append(self.on_store_health)
         store.era.listeners.append(self.on_store_restored)
 
     def on_store_restored(self) -> None:
-        """Log that the store has lost its last writes."""
-        self.log.record(StoreRestored(self.store.era.current, self.revision or 0))
+        """List anew: a restored store gives revisions out again.
+
+        Once it has written past the watched revision, a watch from there succeeds and
+        misses the changes before.
+        """
+        after_revision, self.revision = self.revision or 0, None
+        self.log.record(StoreRestored(self.store.era.current, after_revision))
+        if self.watch is not None and self.watch is not asyncio.current_task():
+            self.watch.cancel()
 
     def on_store_health(self, available: bool) -> None:
         """Restart the watch after an outage: its pending reply may be lost."""
@@ -137,6 +146,8 @@
             return True
         outcome = await self.store.list(self.prefix)
         if isinstance(outcome, Failed):
+            if outcome.error.problem is StoreProblem.HISTORY_LOST:
+                return False
             self.record_failure("list", outcome.error)
             # An instance that starts during an outage serves from stale entries rather
             # than from none.
@@ -144,6 +155,10 @@
                 await self.list_stale()
             return False
         self.health.succeeded()
+        self.era = outcome.value.era
+        if self.era is not None and self.era != self.store.era.current:
+            # The store was restored while this reply was on its way.
+            return False
         self.revision = outcome.value.revision
         for cache in self.caches:
             cache.apply_current_listing(outcome.value.items, self.revision)
@@ -180,6 +195,10 @@
         # Keeps on_store_health from cancelling this task while it handles the reply.
         self.watch = None
         self.health.succeeded()
+        if outcome.value.era not in (None, self.era):
+            # The revision to watch from belongs to another history of the store.
+            self.revision = None
+            return False
         self.revision = outcome.value.revision
         for cache in self.caches:
             cache.apply_changes(outcome.value.changes, self.revision)
--- a/packages/discovery/tests/test_watcher.py
+++ b/packages/discovery/tests/test_watcher.py
@@ -47,6 +47,7 @@
         self.stale = Listing((Item("a/1", b"0", 2),), 3)
         self.list_calls = []
         self.watch_outcomes = []
+        self.on_next_watch = None
         self.watch_calls = []
 
     async def list(self, prefix, stale=False):
@@ -60,6 +61,9 @@
         self.watch_calls.append((prefix, after))
         while not self.watch_outcomes:
             await asyncio.sleep(0.005)
+        if self.on_next_watch is not None:
+            self.on_next_watch()
+            self.on_next_watch = None
         return self.watch_outcomes.pop(0)
 
 
@@ -154,6 +158,49 @@
     await wait_until(lambda: len(store.watch_calls) == 2)
 
 
+async def test_a_restored_store_is_listed_before_it_is_watched_again(watched_store):
+    """Guards against changes that took revisions which had already been seen.
+
+    The restored store has written past the watched revision, so the watch succeeds.
+    """
+    store, (a, _), _ = watched_store
+    store.era.observe(1)
+    await wait_until(lambda: len(store.watch_calls) == 1)
+    store.listing = Listing((Item("a/1", b"restored", 9),), 10, 2)
+    store.era.observe(2)
+    store.watch_outcomes.append(Ok(Changes((), 10, 2)))
+    await wait_until(lambda: a.table.entries == {"a/1": b"restored"})
+    await wait_until(lambda: store.watch_calls[-1] == ("", 10))
+
+
+async def test_the_reply_that_shows_a_restoration_is_not_applied(watched_store):
+    """Guards against a revision of the new history that replaces a listing."""
+    store, (a, _), _ = watched_store
+    store.listing = Listing((Item("a/1", b"1", 5),), 9, 1)
+    store.era.observe(1)
+    store.watch_outcomes.append(Failed(StoreError(StoreProblem.HISTORY_LOST)))
+    await wait_until(lambda: len(store.list_calls) == 2)
+    await wait_until(lambda: len(store.watch_calls) == 2)
+    store.listing = Listing((Item("a/2", b"2", 7),), 12, 2)
+    # The listener runs inside the call, as it does in the client of the store.
+    store.on_next_watch = lambda: store.era.observe(2)
+    store.watch_outcomes.append(Ok(Changes((Item("a/3", b"3", 13),), 13, 2)))
+    await wait_until(lambda: "a/2" in a.table.entries)
+    assert "a/3" not in a.table.entries
+    await wait_until(lambda: store.watch_calls[-1] == ("", 12))
+
+
+async def test_a_listing_from_before_a_restoration_is_not_applied(watched_store):
+    """Guards against a late reply that brings the old history back."""
+    store, (a, _), _ = watched_store
+    await wait_until(lambda: len(store.watch_calls) == 1)
+    store.listing = Listing((Item("a/1", b"late", 30),), 30, 1)
+    store.era.observe(1)
+    store.era.observe(2)
+    await wait_until(lambda: len(store.list_calls) > 2)
+    assert a.table.entries == {"a/1": b"1"}
+
+
 @pytest.mark.parametrize("bound_s", [0.9, PROPAGATION_BOUND_S, 60.0])
 def test_batch_delay_grows_during_continuous_changes(bound_s):
     """Guards against a call for each of many changes, and against a slow first one.
