Never replace a later state by an earlier one from a restored store

A copy that is some seconds old lists a backend server as ready that has since drained, and one that has left; it lacks servers and instances that registered later. What callers would see: requests to servers that leave or have left, and services without servers for a moment.

Cause: a listing was taken as the present, and an outage shorter than a second as no reason to retain what it lacks. Each owner numbers its writes (incarnation and heartbeat of a backend server, registration of an instance, version of a configuration), so earlier ones are recognised. After a restoration a listing no longer replaces a later state, nor brings back an entry that was removed; a write by the owner does. Missing entries are retained as after an outage, and the configuration, which has no lease, is kept whatever the store lacks.

--- a/packages/discovery/src/fireflyrack/discovery/__init__.py
+++ b/packages/discovery/src/fireflyrack/discovery/__init__.py
@@ -5,6 +5,7 @@
 from .entries import REREGISTRATION_GRACE_S, EntryChanged, EntryRemoved, EntryTable
 from .era import StoreEra
 from .health import StoreHealth
+from .order import WriteOrder, write_order
 from .prefix_cache import PrefixCache
 from .registration import Registration, RegistrationEntry
 from .servers import BackendServer, EntryInstance, ServerState, UnreadableEntry
@@ -43,4 +44,6 @@
     "StoreProblem",
     "StoreWatcher",
     "UnreadableEntry",
+    "WriteOrder",
+    "write_order",
 ]
--- a/packages/discovery/src/fireflyrack/discovery/entries.py
+++ b/packages/discovery/src/fireflyrack/discovery/entries.py
@@ -1,7 +1,11 @@
 """Cached entries below one prefix of the store, and their retention in an outage.
 
 Leased entries may expire while the store is unavailable although their owners are
-alive. They stay in use until the owners have had time to register again.
+alive, and a store that is restored from a backup lacks the last ones. They stay in use
+until the owners have had time to register again.
+
+A restored store also lists earlier states: a backend server that has since drained is
+ready again, and one that has left is back. Its listings never replace a later state.
 """
 
 from __future__ import annotations
@@ -12,8 +16,12 @@
 
 from fireflyrack.core import Decision
 
+from .order import is_earlier, is_not_later
+
 # Live owners register again within this time after the store has recovered.
 REREGISTRATION_GRACE_S = 2.2
+# Time for which removed entries are remembered, longer than the age of any backup.
+DEPARTED_RETENTION_S = 120.0
 # An outage shorter than this is too short for a lease to expire.
 MIN_OUTAGE_S = 1.0
 
@@ -58,6 +66,13 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class StoreRestored:
+    """The store was restored from a backup."""
+
+    at: float
+
+
 @dataclass(frozen=True, slots=True)
 class ExpiryTimerFired:
     """The periodic timer fired; the retention of entries may have ended."""
@@ -91,16 +106,38 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class EntryOutdated:
+    """Action: log that a listed state was ignored, since a later one is known."""
+
+    key: str
+    departed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class DepartedEntry:
+    """Last state of a removed entry."""
+
+    value: Any
+    at: float
+
+
 @dataclass(slots=True)
 class EntryTable:
     """Entries in use and their retention state; updated in place."""
 
+    # Whether entries have a lease, so that a missing one is gone.
+    leased: bool = True
     entries: dict[str, Any] = field(default_factory=dict)
     # Time at which each entry that the store no longer lists will be removed.
     missing_until: dict[str, float] = field(default_factory=dict)
     store_unavailable: bool = False
     # Until this time a deleted entry may belong to an owner that is still alive.
     grace_until: float = 0.0
+    # Whether listings may hold earlier states of entries.
+    restored: bool = False
+    # Removed entries in the order of their removal.
+    departed: dict[str, DepartedEntry] = field(default_factory=dict)
 
 
 @singledispatch
@@ -114,7 +151,11 @@
     actions: list[Any] = []
     listed = dict(event.entries)
     for key, value in listed.items():
-        actions += upsert(table, key, value)
+        if table.restored and is_outdated(table, key, value):
+            table.missing_until.pop(key, None)
+            actions.append(EntryOutdated(key, key not in table.entries))
+            continue
+        actions += upsert(table, key, value, event.at)
     for key in [key for key in table.entries if key not in listed]:
         actions += mark_missing(table, key, event.at)
     return Decision(table, tuple(actions))
@@ -122,7 +163,7 @@
 
 @decide.register
 def _(event: EntryWritten, table: EntryTable) -> Decision[EntryTable]:
-    return Decision(table, tuple(upsert(table, event.key, event.value)))
+    return Decision(table, tuple(upsert(table, event.key, event.value, event.at)))
 
 
 @decide.register
@@ -147,6 +188,15 @@
     return Decision(table)
 
 
+@decide.register
+def _(event: StoreRestored, table: EntryTable) -> Decision[EntryTable]:
+    table.restored = True
+    table.grace_until = event.at + REREGISTRATION_GRACE_S
+    for key in table.missing_until:
+        table.missing_until[key] = table.grace_until
+    return Decision(table)
+
+
 @decide.register
 def _(event: ExpiryTimerFired, table: EntryTable) -> Decision[EntryTable]:
     if table.store_unavailable or not table.missing_until:
@@ -154,15 +204,26 @@
     ended = [key for key, until in table.missing_until.items() if event.at >= until]
     actions: list[Any] = []
     for key in ended:
-        actions += remove(table, key, "not registered again after the store recovered")
+        reason = "not registered again after the store recovered"
+        actions += remove(table, key, reason, event.at)
     return Decision(table, tuple(actions))
 
 
-def upsert(table: EntryTable, key: str, value: Any) -> list[Any]:
+def is_outdated(table: EntryTable, key: str, value: Any) -> bool:
+    """Return whether a listed value is an earlier state than the one known."""
+    known = table.entries.get(key)
+    if known is not None:
+        return is_earlier(value, known)
+    departed = table.departed.get(key)
+    return departed is not None and is_not_later(value, departed.value)
+
+
+def upsert(table: EntryTable, key: str, value: Any, at: float) -> list[Any]:
     """Store the value of an entry, or remove the entry if the value is None."""
     table.missing_until.pop(key, None)
     if value is None:
-        return remove(table, key, "unreadable")
+        return remove(table, key, "unreadable", at)
+    table.departed.pop(key, None)
     previous = table.entries.get(key)
     table.entries[key] = value
     return [] if value == previous else [EntryChanged(key, value, previous)]
@@ -170,16 +231,28 @@
 
 def mark_missing(table: EntryTable, key: str, at: float) -> list[Any]:
     """Remove an entry that the store no longer lists, or retain it in an outage."""
-    if key not in table.entries or key in table.missing_until:
+    if not table.leased or key not in table.entries or key in table.missing_until:
         return []
     if not table.store_unavailable and at >= table.grace_until:
-        return remove(table, key, "deleted")
+        return remove(table, key, "deleted", at)
     table.missing_until[key] = max(at, table.grace_until)
     return [EntryRetained(key, table.missing_until[key])]
 
 
-def remove(table: EntryTable, key: str, reason: str) -> list[Any]:
+def remove(table: EntryTable, key: str, reason: str, at: float) -> list[Any]:
     """Remove an entry; return no action if it is not in use."""
     table.missing_until.pop(key, None)
     value = table.entries.pop(key, None)
-    return [] if value is None else [EntryRemoved(key, value, reason)]
+    if value is None:
+        return []
+    forget_departed(table, at)
+    table.departed[key] = DepartedEntry(value, at)
+    return [EntryRemoved(key, value, reason)]
+
+
+def forget_departed(table: EntryTable, at: float) -> None:
+    """Drop removed entries that no backup can hold any more."""
+    for key, departed in tuple(table.departed.items()):
+        if at < departed.at + DEPARTED_RETENTION_S:
+            return
+        del table.departed[key]
--- a/packages/discovery/src/fireflyrack/discovery/log_events.py
+++ b/packages/discovery/src/fireflyrack/discovery/log_events.py
@@ -50,6 +50,16 @@
     after_revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class EntryOutdated(LogEvent):
+    """A restored store lists a state of an entry that its owner has since replaced."""
+
+    kind: ClassVar[str] = "entry_outdated"
+    key: str
+    # Whether the entry was removed before, so that nothing is used in its place.
+    departed: bool
+
+
 @dataclass(frozen=True, slots=True)
 class StoreCallFailed(LogEvent):
     """A call to the store failed."""
--- a/packages/discovery/src/fireflyrack/discovery/prefix_cache.py
+++ b/packages/discovery/src/fireflyrack/discovery/prefix_cache.py
@@ -9,8 +9,14 @@
 from fireflyrack.core import StateMachine
 from fireflyrack.telemetry import EventLog
 
-from . import entries
-from .entries import EntryChanged, EntryRemoved, EntryRetained, EntryTable
+from . import entries, log_events
+from .entries import (
+    EntryChanged,
+    EntryOutdated,
+    EntryRemoved,
+    EntryRetained,
+    EntryTable,
+)
 from .health import StoreHealth
 from .log_events import EntryRejected, EntryStateChanged
 from .servers import UnreadableEntry
@@ -21,7 +27,8 @@
     """Cache the entries below a prefix and call listeners on changes.
 
     `decode` turns an item into a value or an UnreadableEntry. A StoreWatcher applies
-    listings and changes; `table.entries` holds the values by key.
+    listings and changes; `table.entries` holds the values by key. Entries that are not
+    `leased` stay in use when the store lacks them.
     """
 
     def __init__(
@@ -31,6 +38,7 @@
         log: EventLog,
         health: StoreHealth,
         now: Callable[[], float],
+        leased: bool = True,
     ) -> None:
         self.prefix = prefix
         self.decode = decode
@@ -47,7 +55,7 @@
         self.items: dict[str, Item] = {}
         self.on_changed: list[Callable[[EntryChanged], None]] = []
         self.on_removed: list[Callable[[EntryRemoved], None]] = []
-        self.machine = StateMachine(EntryTable(), entries.decide, self.perform)
+        self.machine = StateMachine(EntryTable(leased), entries.decide, self.perform)
         health.listeners.append(self.on_store_health)
 
     @property
@@ -63,6 +71,10 @@
         elif self.health.lost_since is not None:
             self.machine.feed(entries.StoreLost(at, self.health.lost_since))
 
+    def on_store_restored(self) -> None:
+        """Keep the entries that the restored store may lack until they are renewed."""
+        self.machine.feed(entries.StoreRestored(self.now()))
+
     def expire_missing(self) -> None:
         """Remove retained entries whose retention has ended."""
         if self.table.missing_until:
@@ -78,9 +90,11 @@
         """Replace the entries with the listed items below the prefix."""
         if self.first_listed_at is None:
             self.first_listed_at = self.now()
-        below = (item for item in items if item.key.startswith(self.prefix))
+        below = [item for item in items if item.key.startswith(self.prefix)]
         decoded = tuple((item.key, self.decode_value(item)) for item in below)
         self.machine.feed(entries.ListingReceived(self.now(), decoded))
+        for item, (_, value) in zip(below, decoded, strict=True):
+            self.keep_item(item, value)
 
     def seed(self, items: tuple[Item, ...]) -> bool:
         """Load entries from a peer if the store has not been listed yet.
@@ -111,6 +125,7 @@
     def _(self, change: Item) -> None:
         value = self.decode_value(change)
         self.machine.feed(entries.EntryWritten(self.now(), change.key, value))
+        self.keep_item(change, value)
 
     @apply_change.register
     def _(self, change: Deletion) -> None:
@@ -122,9 +137,13 @@
         if isinstance(value, UnreadableEntry):
             self.log.record(EntryRejected(item.key, item.revision, value.reason))
             return None
-        self.items[item.key] = item
         return value
 
+    def keep_item(self, item: Item, value: Any) -> None:
+        """Keep an item for peers if its value is the one in use."""
+        if value is not None and self.table.entries.get(item.key) is value:
+            self.items[item.key] = item
+
     @singledispatchmethod
     def perform(self, action: object) -> None:
         """Perform one action: call the listeners, write a log event, or both."""
@@ -143,6 +162,10 @@
         for listener in self.on_removed:
             listener(action)
 
+    @perform.register
+    def _(self, action: EntryOutdated) -> None:
+        self.log.record(log_events.EntryOutdated(action.key, action.departed))
+
     @perform.register
     def _(self, action: EntryRetained) -> None:
         self.log.record(EntryStateChanged(action.key, "retained", self.revision or 0))
--- a/packages/discovery/src/fireflyrack/discovery/servers.py
+++ b/packages/discovery/src/fireflyrack/discovery/servers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 class ServerState(enum.Enum):
@@ -28,6 +28,8 @@
     # Distinguishes restarts of a backend server under the same id.
     incarnation: int = 0
     software_version: str = ""
+    # Number of the write within the incarnation; alone it changes nothing.
+    sequence: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +45,8 @@
     overloaded: bool = False
     # Address for peer links; empty if it accepts none.
     peer_address: str = ""
+    # Number of the registration within the incarnation; alone it changes nothing.
+    registration: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/discovery/src/fireflyrack/discovery/watcher.py
+++ b/packages/discovery/src/fireflyrack/discovery/watcher.py
@@ -115,6 +115,8 @@
         """
         after_revision, self.revision = self.revision or 0, None
         self.log.record(StoreRestored(self.store.era.current, after_revision))
+        for cache in self.caches:
+            cache.on_store_restored()
         if self.watch is not None and self.watch is not asyncio.current_task():
             self.watch.cancel()
 
--- a/packages/gateway/src/fireflyrack/gateway/instance.py
+++ b/packages/gateway/src/fireflyrack/gateway/instance.py
@@ -23,6 +23,8 @@
     RegistrationEntry,
     StoreHealth,
     StoreWatcher,
+    WriteOrder,
+    write_order,
 )
 from fireflyrack.forwarding import (
     Answer,
@@ -81,6 +83,11 @@
 MIN_PROCESS_PAUSE_S = 1.0
 
 
+@write_order.register
+def _(value: RoutingTable) -> WriteOrder:
+    return WriteOrder("", (value.version,))
+
+
 class Gateway:
     """Connect the slices; create inside a running loop, call `start`, then `stop`."""
 
@@ -132,11 +139,11 @@
         self.withdrawn = False
         self.logged_ready = False
 
-        def create_cache(prefix, decode) -> PrefixCache:
-            return PrefixCache(prefix, decode, log, self.store_health, now)
+        def create_cache(prefix, decode, leased: bool = True) -> PrefixCache:
+            return PrefixCache(prefix, decode, log, self.store_health, now, leased)
 
         self.configuration_cache = create_cache(
-            ports.configuration_prefix, ports.decode_configuration
+            ports.configuration_prefix, ports.decode_configuration, leased=False
         )
         self.configuration_cache.on_changed.append(self.on_configuration_changed)
         self.server_cache = create_cache(ports.servers_prefix, ports.decode_server)
--- a/packages/gateway/src/fireflyrack/gateway/instances.py
+++ b/packages/gateway/src/fireflyrack/gateway/instances.py
@@ -21,6 +21,7 @@
     # Stored name of `EntryInstance.overloaded`.
     strained: bool = False
     peer_address: str = ""
+    registration: int = 0
 
 
 def instance_key(instance_id: str) -> str:
@@ -37,6 +38,7 @@
         address=instance.address,
         strained=instance.overloaded,
         peer_address=instance.peer_address,
+        registration=instance.registration,
     )
     return model.model_dump_json().encode()
 
@@ -54,4 +56,5 @@
         model.address,
         model.strained,
         model.peer_address,
+        model.registration,
     )
