Register anew after a restoration, and end no lease by its id

Cause: the ids of leases are given out again by a restored store. An instance that goes on renewing its old id keeps the entry of another owner alive while its own is missing, and a planned stop that ends the lease deletes the entries of that owner. An entry that was written after the copy under a lease from before it stayed missing until the retention of its own cache had ended.

A restoration drops the lease, also during a registration; a withdrawn instance deletes its own key and lets the lease expire; an entry that the store lacks is written again at the next renewal.

--- a/packages/discovery/src/fireflyrack/discovery/prefix_cache.py
+++ b/packages/discovery/src/fireflyrack/discovery/prefix_cache.py
@@ -75,6 +75,10 @@
         """Keep the entries that the restored store may lack until they are renewed."""
         self.machine.feed(entries.StoreRestored(self.now()))
 
+    def lists(self, key: str) -> bool:
+        """Return whether the store contained an entry when it was last read."""
+        return key in self.table.entries and key not in self.table.missing_until
+
     def expire_missing(self) -> None:
         """Remove retained entries whose retention has ended."""
         if self.table.missing_until:
--- a/packages/discovery/src/fireflyrack/discovery/registration.py
+++ b/packages/discovery/src/fireflyrack/discovery/registration.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from fireflyrack.core import Failed
+from fireflyrack.core import Failed, Outcome
 from fireflyrack.telemetry import EventLog
 
 from .health import StoreHealth
@@ -22,10 +22,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RegistrationEntry:
-    """Key and value to register."""
+    """Key to register, and the encoding of its value.
+
+    `encode` gets the number of the write, which rises with each one.
+    """
 
     key: str
-    value: bytes
+    encode: Callable[[int], bytes]
 
 
 class Registration:
@@ -46,7 +49,13 @@
         # Returns whether the latest known state of the store contains the entry.
         self.is_listed = is_listed
         self.lease: int | None = None
+        self.writes = 0
         self.withdrawn = False
+        store.era.listeners.append(self.on_store_restored)
+
+    def on_store_restored(self) -> None:
+        """Register anew: the id of the lease may belong to another owner now."""
+        self.lease = None
 
     async def keep_registered(self) -> None:
         """Register the entry and renew its lease until `withdraw` is called."""
@@ -64,19 +73,25 @@
             return self.failed("grant lease", granted.error)
         self.health.succeeded()
         if self.withdrawn:
-            await self.store.end_lease(granted.value.id)
             return True
-        written = await self.store.put(
-            self.entry.key, self.entry.value, granted.value.id
-        )
+        era = self.store.era.current
+        written = await self.write(granted.value.id)
         if isinstance(written, Failed):
             # A write without a reply may still take effect; its lease expires, and the
             # next write replaces it.
             return self.failed("register", written.error)
+        if self.store.era.current != era:
+            return False
         self.lease = granted.value.id
         self.log.record(EntryStateChanged(self.entry.key, "registered", written.value))
         return True
 
+    async def write(self, lease: int) -> Outcome[int, StoreError]:
+        """Write the entry under a lease; return the revision."""
+        self.writes += 1
+        value = self.entry.encode(self.writes)
+        return await self.store.put(self.entry.key, value, lease)
+
     async def renew(self) -> bool:
         """Renew the lease; return whether the entry is still registered."""
         outcome = await self.store.renew_lease(self.lease)
@@ -91,26 +106,28 @@
         if not self.is_listed():
             # The entry was deleted although its lease is valid.
             self.lease = None
-            return False
-        return True
+        return self.lease is not None
 
-    async def replace(self, value: bytes) -> None:
-        """Write a new value under the current lease."""
-        self.entry = RegistrationEntry(self.entry.key, value)
+    async def rewrite(self) -> None:
+        """Write the entry again under the current lease, after its value changed."""
         if self.lease is None or self.withdrawn:
             return
-        written = await self.store.put(self.entry.key, value, self.lease)
+        written = await self.write(self.lease)
         if isinstance(written, Failed):
             # The next registration writes the new value.
             self.lease = None
             self.failed("replace register", written.error)
 
     async def withdraw(self) -> None:
-        """End the lease, which deletes the entry, and stop renewing."""
+        """Delete the entry and let its lease expire.
+
+        The lease is not ended by its id, which a restored store may have given to
+        another owner.
+        """
         self.withdrawn = True
         if self.lease is None:
             return
-        outcome = await self.store.end_lease(self.lease)
+        outcome = await self.store.remove(self.entry.key)
         if isinstance(outcome, Failed):
             self.failed("withdraw", outcome.error)
 
--- a/packages/discovery/src/fireflyrack/discovery/store.py
+++ b/packages/discovery/src/fireflyrack/discovery/store.py
@@ -111,5 +111,5 @@
     async def renew_lease(self, lease: int) -> Outcome[float, StoreError]:
         """Renew a lease; return its time to live in seconds."""
 
-    async def end_lease(self, lease: int) -> Outcome[None, StoreError]:
-        """Revoke a lease, which deletes its keys."""
+    async def remove(self, key: str) -> Outcome[int, StoreError]:
+        """Delete a key; return the new revision."""
--- a/packages/gateway/src/fireflyrack/gateway/instance.py
+++ b/packages/gateway/src/fireflyrack/gateway/instance.py
@@ -168,13 +168,12 @@
         )
         key = instance_key(settings.id)
         self.registration = Registration(
-            RegistrationEntry(key, encode_instance(self.own_instance)),
+            RegistrationEntry(key, self.encode_registration),
             ports.store,
             log,
             self.store_health,
             lambda: (
-                self.instance_cache.revision is None
-                or key in self.instance_cache.table.entries
+                self.instance_cache.revision is None or self.instance_cache.lists(key)
             ),
         )
         self.runner = RequestRunner(
@@ -290,6 +289,12 @@
         self.log_readiness_change("configuration and backend servers are known")
         await self.registration.keep_registered()
 
+    def encode_registration(self, number: int) -> bytes:
+        """Return the value of the own registration at its n-th write."""
+        return encode_instance(
+            dataclasses.replace(self.own_instance, registration=number)
+        )
+
     async def withdraw(self) -> None:
         """Stop offering this instance to callers and remove its registration."""
         self.withdrawn = True
@@ -409,7 +414,6 @@
         self.own_instance = dataclasses.replace(
             self.own_instance, overloaded=change.overloaded
         )
-        value = encode_instance(self.own_instance)
-        task = asyncio.create_task(self.registration.replace(value))
+        task = asyncio.create_task(self.registration.rewrite())
         self.registration_updates.add(task)
         task.add_done_callback(self.registration_updates.discard)
