Reject entries of backend servers that cannot be used

Cause: the decoder checked types and patterns but not ranges. A version of 400 digits would end the task that follows the store, again and again. Deep nesting and numbers of 5,000 digits were rejected before.

An error in a decoder rejects its entry alone, and a value that is not base64 no longer makes a whole listing unreadable.

--- a/packages/discovery/src/fireflyrack/discovery/prefix_cache.py
+++ b/packages/discovery/src/fireflyrack/discovery/prefix_cache.py
@@ -22,6 +22,9 @@
 from .servers import UnreadableEntry
 from .store import Deletion, Item
 
+# Longest reason for the rejection of an entry in a log line.
+MAX_REASON_LENGTH = 200
+
 
 class PrefixCache:
     """Cache the entries below a prefix and call listeners on changes.
@@ -137,7 +140,11 @@
 
     def decode_value(self, item: Item) -> Any:
         """Decode an item; log it and return None if it is unreadable."""
-        value = self.decode(item)
+        try:
+            value = self.decode(item)
+        except Exception as error:  # noqa: BLE001
+            # One entry must not keep the others from being followed.
+            value = UnreadableEntry(item.key, repr(error)[:MAX_REASON_LENGTH])
         if isinstance(value, UnreadableEntry):
             self.log.record(EntryRejected(item.key, item.revision, value.reason))
             return None
--- a/packages/gateway/src/fireflyrack/gateway/instances.py
+++ b/packages/gateway/src/fireflyrack/gateway/instances.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from fireflyrack.discovery import EntryInstance, Item, UnreadableEntry
 
@@ -21,7 +21,7 @@
     # Stored name of `EntryInstance.overloaded`.
     strained: bool = False
     peer_address: str = ""
-    registration: int = 0
+    registration: int = Field(default=0, ge=0, le=2**63 - 1)
 
 
 def instance_key(instance_id: str) -> str:
