Refuse requests that a stopping instance could only cut off

What callers saw: requests that came late in the grace period of a planned stop were passed on and answered 502 when the process ended, also those that may run once only, so nobody knew whether they had run.

Cause: a stopping instance served each request that it could still read, however little of the grace period was left.

The forwarding decisions know when the instance exits. A request that may run once is sent only if its whole time fits before that; others if twice the time that most requests of the route take fits. The rest is refused at once as not run, and its caller goes elsewhere.

After: each request that ran is answered 200, and late ones get 503.

--- a/packages/forwarding/src/fireflyrack/forwarding/decisions.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/decisions.py
@@ -28,7 +28,12 @@
     record_crash_evidence,
     record_notice,
 )
-from .refusals import record_unmet_demand, retry_after_s
+from .refusals import (
+    MIN_RETRY_AFTER_S,
+    outlasts_instance,
+    record_unmet_demand,
+    retry_after_s,
+)
 from .requests import Cause, NotRun
 from .sending import AttemptPurpose, hedge, no_server_cause, retry, select, send
 from .state import (
@@ -53,6 +58,9 @@
 
 @decide.register
 def _(event: Started, state: RequestState) -> Decision[RequestState]:
+    if outlasts_instance(state, event.at):
+        state.finished = True
+        return Decision(state, (Finish(NotRun(Cause.STOPPING, MIN_RETRY_AFTER_S)),))
     selections = [select(state, shard, event.at) for shard in state.shards]
     usable = sum(selection is not None for selection in selections)
     for shard, selection in zip(state.shards, selections, strict=True):
--- a/packages/forwarding/src/fireflyrack/forwarding/refusals.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/refusals.py
@@ -8,11 +8,29 @@
 
 # Shortest delay before a retry of callers that found the service full or unavailable.
 MIN_RETRY_AFTER_S = 0.2
+# Multiple of the time that most requests of a route take, within which nearly all end.
+DURATION_FACTOR = 2.0
 # Callers that are refused at the same moment return spread over this fraction of their
 # delay.
 RETRY_SPREAD_FRACTION = 0.5
 
 
+def outlasts_instance(state: RequestState, at: float) -> bool:
+    """Return whether a request may still be in flight when this instance exits.
+
+    A request that may run only once is sent only if it has all of its time left: once
+    it is cut off, nobody knows whether it ran. Others need the time that most take.
+    """
+    remaining_s = state.context.exit_at() - at
+    if not math.isfinite(remaining_s):
+        return False
+    if not state.route.idempotent:
+        return remaining_s < state.deadline_at - at
+    health = state.context.fleet.route(state.route.name, state.route.objective_s)
+    usual_s = health.estimate.high or state.route.objective_s
+    return remaining_s < min(state.deadline_at - at, DURATION_FACTOR * usual_s)
+
+
 def retry_after_s(state: RequestState, at: float) -> float:
     """Return the delay after which a refused request may find enough servers."""
     delay_s = max(MIN_RETRY_AFTER_S, servable_at(state, at) - at)
--- a/packages/forwarding/src/fireflyrack/forwarding/requests.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/requests.py
@@ -45,6 +45,7 @@
     TIMED_OUT = "the time ran out"
     QUARANTINED = "the request crashes backend servers"
     COVERAGE = "too few shards answered"
+    STOPPING = "this instance stops before the request would end"
     INTERNAL = "the system has a fault"
 
 
--- a/packages/forwarding/src/fireflyrack/forwarding/state.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/state.py
@@ -53,6 +53,8 @@
     servers_of: Callable[[str], tuple[BackendServer, ...]]
     # Returns whether this instance is short of CPU time.
     overloaded: Callable[[], bool]
+    # Returns when this instance cuts off requests in flight; infinity unless it stops.
+    exit_at: Callable[[], float]
     crashes: CrashTracker = field(default_factory=CrashTracker)
 
 
--- a/packages/forwarding/tests/forwarding_cases.py
+++ b/packages/forwarding/tests/forwarding_cases.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from fireflyrack.availability import AvailabilityTable, SharerCount
@@ -90,11 +91,13 @@
                 SelectionContext("d0", random.Random(1)),
                 lambda name: self.servers.get(name, ()),
                 lambda: self.overloaded,
+                lambda: self.exit_at,
             ),
             deadline_at=DEADLINE_S,
             cutoff_at=CUTOFF_S,
         )
         self.overloaded = False
+        self.exit_at = math.inf
         self.sent = []
         self.cancelled = []
         self.answer = None
--- a/packages/gateway/src/fireflyrack/gateway/instance.py
+++ b/packages/gateway/src/fireflyrack/gateway/instance.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 import secrets
 from collections.abc import Awaitable, Callable
@@ -137,6 +138,8 @@
         self.server_index = ServerIndex()
         self.store_health = StoreHealth(log, now)
         self.withdrawn = False
+        # Time at which requests in flight are cut off, once a stop was requested.
+        self.exit_at = math.inf
         self.logged_ready = False
 
         def create_cache(prefix, decode, leased: bool = True) -> PrefixCache:
@@ -183,6 +186,7 @@
                 SelectionContext(settings.failure_domain, self.rng),
                 self.server_index.servers_of,
                 lambda: self.overload.state.overloaded,
+                lambda: self.exit_at,
                 self.crashes,
             ),
             ports.transport,
@@ -295,9 +299,10 @@
             dataclasses.replace(self.own_instance, registration=number)
         )
 
-    async def withdraw(self) -> None:
+    async def withdraw(self, exit_at: float) -> None:
         """Stop offering this instance to callers and remove its registration."""
         self.withdrawn = True
+        self.exit_at = exit_at
         self.log_readiness_change("stop requested")
         await self.registration.withdraw()
 
--- a/packages/gateway/src/fireflyrack/gateway/process.py
+++ b/packages/gateway/src/fireflyrack/gateway/process.py
@@ -98,7 +98,7 @@
     @perform.register
     def _(self, action: Withdraw) -> None:
         self.log_phase()
-        self.spawn(self.gateway.withdraw())
+        self.spawn(self.gateway.withdraw(action.exit_at))
         self.start_phase_timer(action.until)
 
     @perform.register
--- a/packages/gateway/src/fireflyrack/gateway/shutdown.py
+++ b/packages/gateway/src/fireflyrack/gateway/shutdown.py
@@ -52,9 +52,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Withdraw:
-    """Action: withdraw the address from the directory; close listeners at `until`."""
+    """Action: withdraw the address from the directory; close listeners at `until`.
+
+    Requests still in flight at `exit_at` are cut off.
+    """
 
     until: float
+    exit_at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +81,11 @@
     phase: Phase = Phase.SERVING
     requested_at: float = 0.0
 
+    @property
+    def exit_at(self) -> float:
+        """Return the time at which the process exits at the latest."""
+        return self.requested_at + (1 - EXIT_MARGIN_FRACTION) * self.grace_s
+
 
 @singledispatch
 def decide(event: object, state: ShutdownState) -> Decision[ShutdownState]:
@@ -91,15 +100,15 @@
         return Decision(state)
     state.phase = Phase.WITHDRAWN
     state.requested_at = event.at
-    return Decision(state, (Withdraw(event.at + SERVING_FRACTION * state.grace_s),))
+    until = event.at + SERVING_FRACTION * state.grace_s
+    return Decision(state, (Withdraw(until, state.exit_at),))
 
 
 @decide.register
 def _(event: PhaseTimerFired, state: ShutdownState) -> Decision[ShutdownState]:
     if state.phase is Phase.WITHDRAWN:
         state.phase = Phase.CLOSING
-        until = state.requested_at + (1 - EXIT_MARGIN_FRACTION) * state.grace_s
-        return Decision(state, (CloseListeners(until),))
+        return Decision(state, (CloseListeners(state.exit_at),))
     if state.phase is Phase.CLOSING:
         state.phase = Phase.EXITED
         return Decision(state, (Exit(),))
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -481,3 +481,34 @@
     assert loop.time() - requested_at < GRACE_S - CLEANUP_RESERVE_S
     # Nobody can know whether the request ran.
     assert await pending == 502
+
+
+async def test_no_late_request_of_a_planned_stop_is_cut_off(cluster):
+    """Guards against requests that are taken late in the grace period and then lost.
+
+    They may run once only, take a third of the grace period, and come on kept
+    connections until the process is gone.
+    """
+    server = await cluster.add_server("i-1", "s", delay_s=GRACE_S / 3)
+    await cluster.configure({**ROUTE, "kind": "unsafe", "maxAttempts": 1})
+    gateway = await cluster.start()
+    gateway.process.send_signal(15)
+    statuses = {}
+
+    async def send(number: int) -> None:
+        try:
+            statuses[f"r{number}"] = await gateway.status(
+                "/a/x", request_id=f"r{number}", method="POST", data=b"x"
+            )
+        except aiohttp.ClientError:
+            # Nothing listens any more, or the connection closed before the request.
+            statuses[f"r{number}"] = None
+
+    requests = []
+    for number in range(150):
+        requests.append(asyncio.create_task(send(number)))
+        await asyncio.sleep(GRACE_S / 150)
+    await asyncio.gather(*requests)
+    ran = {r.headers[names.REQUEST_ID.lower()] for r in server.requests}
+    assert {statuses[id] for id in ran} == {200}
+    assert 503 in statuses.values(), "late requests are refused as not run"
