Send nothing more to a backend server that states that it leaves

Cause: a server that leaves says so in each of its responses, and nothing read it. While the store is away, or cannot report the draining yet, it went on getting requests beyond the bound for draining.

The statement holds for that incarnation: neither a response without it nor a registration that lapses and comes back takes it back; a later start or another server at the address is not concerned. First attempts, hedges, retries and searches ask the same table as for the rate limit. One line (server_leaving) and a value of the gauge of restricted servers show it.

Shown by tests without network, and by one with a real gateway whose store is away; the code before has no such statement.

--- a/packages/availability/src/fireflyrack/availability/log_events.py
+++ b/packages/availability/src/fireflyrack/availability/log_events.py
@@ -25,6 +25,17 @@
     sharers: int
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingStated(LogEvent):
+    """A backend server stated that it leaves; its incarnation gets nothing more."""
+
+    kind: ClassVar[str] = "server_leaving"
+    server: str
+    service: str
+    incarnation: int
+    source: str
+
+
 @dataclass(frozen=True, slots=True)
 class StatementIgnored(LogEvent):
     """A statement of a backend server could not be decoded."""
--- a/packages/availability/src/fireflyrack/availability/notices.py
+++ b/packages/availability/src/fireflyrack/availability/notices.py
@@ -31,13 +31,15 @@
     load: Load | None = None
     # Requests per second that it takes from all entry instances together.
     rate_limit: float | None = None
+    # Whether it leaves and wants no further requests.
+    leaving: bool = False
     # Statements that could not be decoded, with their values.
     unreadable: tuple[str, ...] = ()
 
     @property
     def states_anything(self) -> bool:
         """Return whether there is a statement beside the load."""
-        return self.rate_limit is not None or bool(self.unreadable)
+        return self.rate_limit is not None or self.leaving or bool(self.unreadable)
 
 
 NO_NOTICE = Notice()
--- a/packages/availability/src/fireflyrack/availability/servers.py
+++ b/packages/availability/src/fireflyrack/availability/servers.py
@@ -10,16 +10,20 @@
 from fireflyrack.core import Decision
 from fireflyrack.discovery import BackendServer, ServerState
 
-from .log_events import RateLimitChanged, StatementIgnored
+from .log_events import LeavingStated, RateLimitChanged, StatementIgnored
 from .notices import Notice, Source
 from .quotas import PacedQuota, interval_of, open_quota
 from .sharers import SharerCount
 
+# Time for which it is remembered that a server leaves, longer than it goes on living.
+LEAVING_RETENTION_S = 600.0
+
 
 class Obstacle(enum.Enum):
     """Reason why a backend server must not get a request now."""
 
     DRAINING = "draining"
+    LEAVING = "leaving"
     RATE_LIMITED = "rate limited"
 
 
@@ -46,6 +50,7 @@
 class ServerRemoved:
     """Event: a backend server is no longer registered."""
 
+    at: float
     server: BackendServer
 
 
@@ -67,12 +72,18 @@
     """Statements of one incarnation of a backend server; mutable."""
 
     incarnation: int
+    # Time at which it stated that it leaves. No later response takes that back.
+    leaving_since: float | None = None
     rate_limit: RateLimit | None = None
 
     @property
     def obstacles(self) -> tuple[Obstacle, ...]:
         """Return the kinds of statements that hold."""
-        return () if self.rate_limit is None else (Obstacle.RATE_LIMITED,)
+        held = {
+            Obstacle.LEAVING: self.leaving_since,
+            Obstacle.RATE_LIMITED: self.rate_limit,
+        }
+        return tuple(kind for kind, value in held.items() if value is not None)
 
 
 @dataclass(slots=True)
@@ -105,6 +116,11 @@
         """Return why a server must not get a request now, None if it may."""
         if server.state is not ServerState.READY:
             return Obstacle.DRAINING
+        stated = self.find(server)
+        if stated is None:
+            return None
+        if stated.leaving_since is not None:
+            return Obstacle.LEAVING
         quota = self.quota(server, at)
         if quota is not None and not quota.available(at):
             return Obstacle.RATE_LIMITED
@@ -114,6 +130,11 @@
         """Return when a server takes the next request, None if it takes no more."""
         if server.state is not ServerState.READY:
             return None
+        stated = self.find(server)
+        if stated is None:
+            return at
+        if stated.leaving_since is not None:
+            return None
         quota = self.quota(server, at)
         return at if quota is None else quota.available_at(at)
 
@@ -160,14 +181,13 @@
 def _(event: NoticeReceived, table: AvailabilityTable) -> Decision[AvailabilityTable]:
     server, notice = event.server, event.notice
     events = [StatementIgnored(server.id, text) for text in notice.unreadable]
-    stated = table.find(server)
-    if stated is None:
-        if notice.rate_limit is None:
-            return Decision(table, tuple(events))
-        stated = table.servers[server.id] = StatedServer(server.incarnation)
+    stated = table.find(server) or StatedServer(server.incarnation)
+    events += apply_leaving(stated, event)
     if not notice.unreadable:
         events += apply_rate_limit(stated, event, table)
-    if not stated.obstacles:
+    if stated.obstacles:
+        table.servers[server.id] = stated
+    elif table.find(server) is not None:
         del table.servers[server.id]
     return Decision(table, tuple(events))
 
@@ -180,11 +200,26 @@
 
 @decide.register
 def _(event: ServerRemoved, table: AvailabilityTable) -> Decision[AvailabilityTable]:
-    if table.find(event.server) is not None:
+    stated = table.find(event.server)
+    if stated is not None and stated.leaving_since is None:
         del table.servers[event.server.id]
+    # The registration of a server that leaves may lapse and come back.
+    for id, known in tuple(table.servers.items()):
+        since = known.leaving_since
+        if since is not None and event.at > since + LEAVING_RETENTION_S:
+            del table.servers[id]
     return Decision(table)
 
 
+def apply_leaving(stated: StatedServer, event: NoticeReceived) -> list[LeavingStated]:
+    """Record that a server leaves."""
+    if not event.notice.leaving or stated.leaving_since is not None:
+        return []
+    stated.leaving_since = event.at
+    server, source = event.server, Source.RESPONSE.value
+    return [LeavingStated(server.id, server.service, server.incarnation, source)]
+
+
 def apply_rate_limit(
     stated: StatedServer, event: NoticeReceived, table: AvailabilityTable
 ) -> list[RateLimitChanged]:
--- a/packages/availability/tests/test_servers.py
+++ b/packages/availability/tests/test_servers.py
@@ -12,7 +12,12 @@
     SharerCount,
     decide,
 )
-from fireflyrack.availability.log_events import RateLimitChanged, StatementIgnored
+from fireflyrack.availability.log_events import (
+    LeavingStated,
+    RateLimitChanged,
+    StatementIgnored,
+)
+from fireflyrack.availability.servers import LEAVING_RETENTION_S
 from fireflyrack.discovery import BackendServer, ServerState
 
 SERVER = BackendServer("s-1", "s", "10.0.0.1:80", "d", 2, ServerState.READY)
@@ -53,7 +58,7 @@
     """Guards against a table that grows with each server that ever existed."""
     table = make_table()
     receive(table, Notice(rate_limit=8.0))
-    decide(ServerRemoved(SERVER), table)
+    decide(ServerRemoved(2.0, SERVER), table)
     assert not table.servers
 
 
@@ -94,3 +99,34 @@
     draining = dataclasses.replace(SERVER, state=ServerState.DRAINING)
     assert table.obstacle(draining, 1.0) is Obstacle.DRAINING
     assert table.available_at(draining, 1.0) is None
+
+
+def test_a_server_that_leaves_gets_nothing_more_whatever_it_says_later():
+    """Guards against requests to a server that leaves while the store is away."""
+    table = make_table()
+    (event,) = receive(table, Notice(leaving=True), 1.0)
+    assert isinstance(event, LeavingStated)
+    assert receive(table, Notice(leaving=True), 1.5) == ()
+    receive(table, Notice(), 2.0)
+    assert table.obstacle(SERVER, 2.0) is Obstacle.LEAVING
+    assert table.available_at(SERVER, 2.0) is None
+
+
+def test_a_server_that_leaves_is_remembered_when_its_entry_lapses():
+    """Guards against an entry that comes back and brings its server back into use."""
+    table = make_table()
+    receive(table, Notice(leaving=True), 1.0)
+    decide(ServerRemoved(2.0, SERVER), table)
+    assert table.obstacle(SERVER, 3.0) is Obstacle.LEAVING
+    decide(ServerRemoved(1.1 + LEAVING_RETENTION_S, SERVER), table)
+    assert not table.servers
+
+
+def test_a_new_start_at_the_same_address_is_not_leaving():
+    """Guards against a restarted server, or another one there, that gets nothing."""
+    table = make_table()
+    receive(table, Notice(leaving=True))
+    restarted = dataclasses.replace(SERVER, incarnation=1)
+    other = dataclasses.replace(SERVER, id="s-2")
+    assert table.obstacle(restarted, 1.0) is None
+    assert table.obstacle(other, 1.0) is None
--- a/packages/forwarding/src/fireflyrack/forwarding/sending.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/sending.py
@@ -53,7 +53,7 @@
         return Cause.NO_SERVER
     availability = state.context.availability
     obstacles = {availability.obstacle(server, at) for server in known}
-    if obstacles == {Obstacle.DRAINING}:
+    if obstacles <= {Obstacle.DRAINING, Obstacle.LEAVING}:
         return Cause.ALL_DRAINING
     if None not in obstacles:
         return Cause.RATE_LIMITED
--- a/packages/gateway/src/fireflyrack/gateway/instance.py
+++ b/packages/gateway/src/fireflyrack/gateway/instance.py
@@ -374,7 +374,7 @@
             removal.value.id, removal.value.incarnation, self.now()
         )
         self.fleet.remove_server(removal.value.id)
-        self.availability.feed(availability.ServerRemoved(removal.value))
+        self.availability.feed(availability.ServerRemoved(self.now(), removal.value))
 
     def update_instance_count(self) -> None:
         """Divide the fleet-wide limits among the known instances."""
--- a/tests/platform/test_server_statements.py
+++ b/tests/platform/test_server_statements.py
@@ -66,3 +66,27 @@
     assert set(await load([gateway], 10, 0.01)) == {200}
     lines = [e for e in gateway.log() if e["event"] == "server_statement_ignored"]
     assert lines and "-1e999" in lines[0]["statement"]
+
+
+async def test_a_server_that_leaves_gets_nothing_while_the_store_is_away(cluster):
+    """Guards against requests to a server whose draining the store cannot report."""
+    stated = {}
+    leaving = await cluster.add_server("i-1", "s", behaviour=behaviours.stating(stated))
+    await cluster.add_server("i-2", "s")
+    await cluster.configure(ROUTE)
+    gateway = await cluster.start()
+    cluster.store.faults.refuse_with = 503
+    stated[names.LEAVING] = "1"
+    async with asyncio.timeout(5):
+        while not any(e["event"] == "server_leaving" for e in gateway.log()):
+            await load([gateway], 5, 0.01)
+    before = len(leaving.requests)
+    stated.clear()
+    assert set(await load([gateway], 60, 0.01)) == {200}
+    assert len(leaving.requests) == before
+    cluster.store.faults.refuse_with = 0
+    restarted = leaving.registration(born=9, sequence=1)
+    await cluster.store.write("servers/i-1", restarted)
+    async with asyncio.timeout(5):
+        while len(leaving.requests) == before:
+            await load([gateway], 20, 0.01)
