Leave a backend server alone for the time of its Retry-After

Cause: the Retry-After of a backend server's 503 was not read, so the next request went to it a quarter of a second later, when the brief penalty for a full queue had ended.

A closed server gets nothing from this instance until its time is over, the later end of overlapping statements counting. Then one request at a time tries it, at a moment that differs between instances, until one is accepted. Malformed times, and those above max_closure_s, are logged and ignored.

Shown by tests without network and by two with a real gateway. The code before has no such state.

--- a/packages/availability/src/fireflyrack/availability/log_events.py
+++ b/packages/availability/src/fireflyrack/availability/log_events.py
@@ -36,6 +36,29 @@
     source: str
 
 
+@dataclass(frozen=True, slots=True)
+class ServerClosed(LogEvent):
+    """A backend server refused a request and wants none for a time."""
+
+    kind: ClassVar[str] = "server_closed"
+    server: str
+    service: str
+    closed_for_s: float
+    # Time from now until this instance tries it again, at least that of `closed_for_s`.
+    reopens_in_s: float
+    source: str
+
+
+@dataclass(frozen=True, slots=True)
+class ServerReopened(LogEvent):
+    """A backend server that had closed accepted a request again."""
+
+    kind: ClassVar[str] = "server_reopened"
+    server: str
+    service: str
+    closed_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class StatementIgnored(LogEvent):
     """A statement of a backend server could not be decoded."""
@@ -51,5 +74,5 @@
 
 
 @severity_of.register
-def _(event: StatementIgnored) -> Severity:
+def _(event: StatementIgnored | ServerClosed) -> Severity:
     return Severity.WARNING
--- a/packages/availability/src/fireflyrack/availability/notices.py
+++ b/packages/availability/src/fireflyrack/availability/notices.py
@@ -31,6 +31,8 @@
     load: Load | None = None
     # Requests per second that it takes from all entry instances together.
     rate_limit: float | None = None
+    # Seconds for which it wants no further requests from this instance.
+    closed_for_s: float | None = None
     # Whether it leaves and wants no further requests.
     leaving: bool = False
     # Statements that could not be decoded, with their values.
@@ -39,7 +41,8 @@
     @property
     def states_anything(self) -> bool:
         """Return whether there is a statement beside the load."""
-        return self.rate_limit is not None or self.leaving or bool(self.unreadable)
+        stated = self.rate_limit is not None or self.closed_for_s is not None
+        return stated or self.leaving or bool(self.unreadable)
 
 
 NO_NOTICE = Notice()
--- a/packages/availability/src/fireflyrack/availability/servers.py
+++ b/packages/availability/src/fireflyrack/availability/servers.py
@@ -3,14 +3,23 @@
 from __future__ import annotations
 
 import enum
+import math
 import random
 from dataclasses import dataclass, field
 from functools import singledispatch
 
 from fireflyrack.core import Decision
 from fireflyrack.discovery import BackendServer, ServerState
-
-from .log_events import LeavingStated, RateLimitChanged, StatementIgnored
+from fireflyrack.telemetry import LogEvent
+
+from .closures import Closure, close
+from .log_events import (
+    LeavingStated,
+    RateLimitChanged,
+    ServerClosed,
+    ServerReopened,
+    StatementIgnored,
+)
 from .notices import Notice, Source
 from .quotas import PacedQuota, interval_of, open_quota
 from .sharers import SharerCount
@@ -18,12 +27,16 @@
 # Time for which it is remembered that a server leaves, longer than it goes on living.
 LEAVING_RETENTION_S = 600.0
 
+# A closed time that grows by less has no log line; many requests are refused at once.
+MIN_LOGGED_EXTENSION_S = 1.0
+
 
 class Obstacle(enum.Enum):
     """Reason why a backend server must not get a request now."""
 
     DRAINING = "draining"
     LEAVING = "leaving"
+    CLOSED = "closed for a time"
     RATE_LIMITED = "rate limited"
 
 
@@ -34,6 +47,8 @@
     at: float
     server: BackendServer
     notice: Notice
+    # Whether the server accepted the request, even if it failed.
+    accepted: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +89,7 @@
     incarnation: int
     # Time at which it stated that it leaves. No later response takes that back.
     leaving_since: float | None = None
+    closure: Closure | None = None
     rate_limit: RateLimit | None = None
 
     @property
@@ -81,6 +97,7 @@
         """Return the kinds of statements that hold."""
         held = {
             Obstacle.LEAVING: self.leaving_since,
+            Obstacle.CLOSED: self.closure,
             Obstacle.RATE_LIMITED: self.rate_limit,
         }
         return tuple(kind for kind, value in held.items() if value is not None)
@@ -95,6 +112,8 @@
 
     rng: random.Random
     sharers: SharerCount
+    # Longest time in seconds for which a server may ask for no requests.
+    max_closure_s: float = 300.0
     servers: dict[str, StatedServer] = field(default_factory=dict)
 
     def count(self, obstacle: Obstacle) -> int:
@@ -121,6 +140,8 @@
             return None
         if stated.leaving_since is not None:
             return Obstacle.LEAVING
+        if stated.closure is not None and not stated.closure.available(at):
+            return Obstacle.CLOSED
         quota = self.quota(server, at)
         if quota is not None and not quota.available(at):
             return Obstacle.RATE_LIMITED
@@ -135,8 +156,9 @@
             return at
         if stated.leaving_since is not None:
             return None
+        opens_at = at if stated.closure is None else stated.closure.available_at(at)
         quota = self.quota(server, at)
-        return at if quota is None else quota.available_at(at)
+        return opens_at if quota is None else max(opens_at, quota.available_at(at))
 
     def quota(self, server: BackendServer, at: float) -> PacedQuota | None:
         """Return the quota of a server that limits its rate, at the current share."""
@@ -151,12 +173,22 @@
 
     def record_sent(self, server: BackendServer, at: float) -> None:
         """Count a request that is sent to a server."""
+        stated = self.find(server)
+        if stated is None:
+            return
+        if stated.closure is not None:
+            stated.closure.record_sent(at)
         quota = self.quota(server, at)
         if quota is not None:
             quota.take()
 
     def record_not_sent(self, server: BackendServer, at: float) -> None:
         """Discount a request that did not reach its server."""
+        stated = self.find(server)
+        if stated is None:
+            return
+        if stated.closure is not None:
+            stated.closure.record_not_sent()
         quota = self.quota(server, at)
         if quota is not None:
             quota.refund()
@@ -183,6 +215,7 @@
     events = [StatementIgnored(server.id, text) for text in notice.unreadable]
     stated = table.find(server) or StatedServer(server.incarnation)
     events += apply_leaving(stated, event)
+    events += apply_closure(stated, event, table)
     if not notice.unreadable:
         events += apply_rate_limit(stated, event, table)
     if stated.obstacles:
@@ -220,6 +253,37 @@
     return [LeavingStated(server.id, server.service, server.incarnation, source)]
 
 
+def apply_closure(
+    stated: StatedServer, event: NoticeReceived, table: AvailabilityTable
+) -> list[LogEvent]:
+    """Close a server for the time that it asks for, or open it again."""
+    at, server, closed_for_s = event.at, event.server, event.notice.closed_for_s
+    closure = stated.closure
+    if closed_for_s is None:
+        if closure is None or not closure.ends(event.accepted, at):
+            return []
+        stated.closure = None
+        return [ServerReopened(server.id, server.service, at - closure.since)]
+    if closed_for_s > table.max_closure_s:
+        return [StatementIgnored(server.id, f"closed for {closed_for_s:g} s")]
+    known_until = -math.inf if closure is None else closure.until
+    if closure is None:
+        closure = stated.closure = close(closed_for_s, at, table.rng)
+    else:
+        closure.extend(closed_for_s, at, table.rng)
+    if closure.until - known_until < MIN_LOGGED_EXTENSION_S:
+        return []
+    return [
+        ServerClosed(
+            server=server.id,
+            service=server.service,
+            closed_for_s=closed_for_s,
+            reopens_in_s=closure.reopens_at - at,
+            source=Source.RESPONSE.value,
+        )
+    ]
+
+
 def apply_rate_limit(
     stated: StatedServer, event: NoticeReceived, table: AvailabilityTable
 ) -> list[RateLimitChanged]:
--- a/packages/availability/tests/test_servers.py
+++ b/packages/availability/tests/test_servers.py
@@ -12,9 +12,12 @@
     SharerCount,
     decide,
 )
+from fireflyrack.availability.closures import TRIAL_TIMEOUT_S
 from fireflyrack.availability.log_events import (
     LeavingStated,
     RateLimitChanged,
+    ServerClosed,
+    ServerReopened,
     StatementIgnored,
 )
 from fireflyrack.availability.servers import LEAVING_RETENTION_S
@@ -130,3 +133,64 @@
     other = dataclasses.replace(SERVER, id="s-2")
     assert table.obstacle(restarted, 1.0) is None
     assert table.obstacle(other, 1.0) is None
+
+
+def test_a_closed_server_gets_nothing_until_its_time_is_over():
+    """Guards against requests to a server that asked for a pause."""
+    table = make_table()
+    (closed,) = receive(table, Notice(closed_for_s=4.0), 1.0)
+    assert isinstance(closed, ServerClosed)
+    assert 4.0 <= closed.reopens_in_s <= 5.0
+    # Responses to requests that were sent before do not open it.
+    assert receive(table, Notice(), 2.0) == ()
+    for at in (1.0, 3.0, 4.99):
+        assert table.obstacle(SERVER, at) is Obstacle.CLOSED
+    assert table.obstacle(SERVER, 6.0) is None
+
+
+def test_the_later_end_of_two_refusals_that_overlap_counts():
+    """Guards against a second refusal with a shorter time that opens a server early."""
+    table = make_table()
+    receive(table, Notice(closed_for_s=5.0), 1.0)
+    assert receive(table, Notice(closed_for_s=1.0), 2.0) == ()
+    assert table.obstacle(SERVER, 5.9) is Obstacle.CLOSED
+    (extended,) = receive(table, Notice(closed_for_s=8.0), 3.0)
+    assert extended.closed_for_s == 8.0
+    assert table.obstacle(SERVER, 10.9) is Obstacle.CLOSED
+
+
+def test_work_returns_with_one_trial_at_a_time():
+    """Guards against a burst at the moment at which a closed time ends."""
+    table = make_table()
+    receive(table, Notice(closed_for_s=1.0), 1.0)
+    assert table.obstacle(SERVER, 3.0) is None
+    table.record_sent(SERVER, 3.0)
+    assert table.obstacle(SERVER, 3.1) is Obstacle.CLOSED
+    refusal = NoticeReceived(3.2, SERVER, Notice(), accepted=False)
+    assert decide(refusal, table).actions == ()
+    assert table.obstacle(SERVER, 3.2) is None
+    table.record_sent(SERVER, 3.2)
+    assert table.obstacle(SERVER, 3.2 + TRIAL_TIMEOUT_S) is None, "no response came"
+    (reopened,) = receive(table, Notice(), 5.0)
+    assert isinstance(reopened, ServerReopened)
+    assert table.obstacle(SERVER, 5.0) is None
+    assert not table.servers
+
+
+def test_instances_return_at_different_moments():
+    """Guards against a fleet that returns to a server all at once."""
+    times = set()
+    for seed in range(20):
+        table = AvailabilityTable(random.Random(seed), SharerCount(20))
+        receive(table, Notice(closed_for_s=4.0), 0.0)
+        times.add(table.available_at(SERVER, 0.0))
+    assert len(times) == 20
+    assert 4.0 <= min(times) < 4.3 and 4.7 < max(times) <= 5.0
+
+
+def test_an_absurd_closed_time_is_logged_and_ignored():
+    """Guards against one malformed value that takes a server out for ever."""
+    table = make_table()
+    (ignored,) = receive(table, Notice(closed_for_s=1e9))
+    assert isinstance(ignored, StatementIgnored)
+    assert table.obstacle(SERVER, 1.0) is None
--- a/packages/forwarding/src/fireflyrack/forwarding/observations.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/observations.py
@@ -38,7 +38,8 @@
     if isinstance(outcome, Refused) and outcome.reason is Refusal.REPLACED:
         # Another server now uses the address; its response says nothing about this one.
         return ()
-    event = NoticeReceived(at, attempt.server, outcome.notice)
+    accepted = isinstance(outcome, Completed)
+    event = NoticeReceived(at, attempt.server, outcome.notice, accepted)
     return (RecordNotice(event),) if state.context.availability.concerns(event) else ()
 
 
--- a/packages/forwarding/src/fireflyrack/forwarding/requests.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/requests.py
@@ -36,6 +36,7 @@
     NO_CONFIGURATION = "no configuration is known yet"
     NO_SERVER = "no backend server is known"
     ALL_DRAINING = "all backend servers are leaving"
+    CLOSED = "all backend servers refuse requests for a time"
     RATE_LIMITED = "all backend servers are at their rate limit"
     SATURATED = "all backend servers are at their connection limit"
     REFUSED = "backend servers refused"
--- a/packages/forwarding/src/fireflyrack/forwarding/sending.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/sending.py
@@ -55,6 +55,8 @@
     obstacles = {availability.obstacle(server, at) for server in known}
     if obstacles <= {Obstacle.DRAINING, Obstacle.LEAVING}:
         return Cause.ALL_DRAINING
+    if Obstacle.CLOSED in obstacles and None not in obstacles:
+        return Cause.CLOSED
     if None not in obstacles:
         return Cause.RATE_LIMITED
     return Cause.SATURATED
--- a/packages/gateway/src/fireflyrack/gateway/instance.py
+++ b/packages/gateway/src/fireflyrack/gateway/instance.py
@@ -123,7 +123,9 @@
         self.fleet.set_instance_count(INITIAL_INSTANCE_COUNT)
         self.crashes = CrashTracker()
         self.availability = StateMachine(
-            AvailabilityTable(self.rng, SharerCount(INITIAL_INSTANCE_COUNT)),
+            AvailabilityTable(
+                self.rng, SharerCount(INITIAL_INSTANCE_COUNT), settings.max_closure_s
+            ),
             availability.decide,
             log.record,
         )
--- a/packages/gateway/src/fireflyrack/gateway/settings.py
+++ b/packages/gateway/src/fireflyrack/gateway/settings.py
@@ -41,6 +41,9 @@
     retry_ratio: float = Field(default=0.1, ge=0)
     retry_slack: float = Field(default=20.0, ge=0)
     retry_window_s: float = Field(default=10.0, gt=0)
+    # Longest time for which a backend server may ask for no requests, in seconds; a
+    # longer one is taken for malformed.
+    max_closure_s: float = Field(default=300.0, gt=0)
     # Limits of the responses of backend servers.
     response_limits: ResponseLimits = ResponseLimits()
     log: EventLogSettings = EventLogSettings()
--- a/tests/platform/stand_in_server.py
+++ b/tests/platform/stand_in_server.py
@@ -179,6 +179,17 @@
     return Reply(refused)
 
 
+def closing(retry_after: str) -> Behaviour:
+    """Return a behaviour that refuses requests and asks for a pause."""
+
+    async def refuse(server: StandInServer, request: ReceivedRequest) -> Reply:
+        headers = {names.NOT_RUN: "1", "Retry-After": retry_after}
+        status = "503 Service Unavailable"
+        return Reply(encode_response(request, b"", status, headers))
+
+    return refuse
+
+
 async def reset_in_body(server: StandInServer, request: ReceivedRequest) -> Reply:
     """Send part of a body without a length, then reset the connection."""
     head = (
--- a/tests/platform/test_server_statements.py
+++ b/tests/platform/test_server_statements.py
@@ -75,6 +75,10 @@
     await cluster.add_server("i-2", "s")
     await cluster.configure(ROUTE)
     gateway = await cluster.start()
+    # Until an instance has seen its registration, it uses few connections.
+    async with asyncio.timeout(5):
+        while not any(e["event"] == "instances_changed" for e in gateway.log()):
+            await asyncio.sleep(0.02)
     cluster.store.faults.refuse_with = 503
     stated[names.LEAVING] = "1"
     async with asyncio.timeout(5):
@@ -90,3 +94,44 @@
     async with asyncio.timeout(5):
         while len(leaving.requests) == before:
             await load([gateway], 20, 0.01)
+
+
+async def test_a_server_that_asks_for_a_pause_gets_one(cluster):
+    """Guards against requests to a server during the time of its Retry-After."""
+    pause_s = 1.5
+    closed = await cluster.add_server("i-1", "s")
+    # So slow that the first server is preferred again once it is open.
+    await cluster.add_server("i-2", "s", delay_s=0.15)
+    await cluster.configure(ROUTE)
+    gateway = await cluster.start()
+    closed.behaviour = behaviours.closing(f"{pause_s}")
+    async with asyncio.timeout(5):
+        while not any(e["event"] == "server_closed" for e in gateway.log()):
+            await load([gateway], 5, 0.01)
+    closed_at = closed.requests[-1].received_at
+    closed.behaviour = behaviours.answer
+    assert set(await load([gateway], 150, 0.03)) == {200}
+    later = [r.received_at - closed_at for r in closed.requests]
+    # Requests that were under way when it closed do not count.
+    early = [after_s for after_s in later if 0.5 < after_s < pause_s]
+    assert not early
+    assert any(after_s > pause_s for after_s in later), "the pause is over"
+
+
+async def test_callers_learn_when_the_first_of_all_closed_servers_opens(cluster):
+    """Guards against a request that waits for servers which refuse everything."""
+    for number, pause in enumerate(("20", "9.5", "not a number")):
+        behaviour = behaviours.closing(pause)
+        await cluster.add_server(f"i-{number}", "s", behaviour=behaviour)
+    await cluster.configure({**ROUTE, "maxAttempts": 3})
+    gateway = await cluster.start()
+    await load([gateway], 30, 0.01)
+    cluster.servers["i-2"].server.close()
+    await cluster.store.remove("servers/i-2")
+    async with asyncio.timeout(5):
+        while True:
+            async with gateway.get("/a/x") as response:
+                assert response.status == 503
+                if float(response.headers["Retry-After"]) > 1:
+                    break
+    assert 7 <= float(response.headers["Retry-After"]) <= 16
