Tell peers which backend servers leave or limit their rate

Statements that a response has changed go to all peers with the next batch of updates, once; what a peer reported is not passed on. The closed time of a Retry-After is not shared, since the server asks for it from one instance. Nothing that must hold depends on the messages: each instance follows its own responses.

--- a/packages/availability/src/fireflyrack/availability/__init__.py
+++ b/packages/availability/src/fireflyrack/availability/__init__.py
@@ -7,13 +7,14 @@
 from __future__ import annotations
 
 from .metrics import register_metrics
-from .notices import NO_NOTICE, Load, Notice, Source
+from .notices import NO_NOTICE, Load, Notice, SharedStatement, Source
 from .servers import (
     AvailabilityTable,
     InstancesCounted,
     NoticeReceived,
     Obstacle,
     ServerRemoved,
+    StatementShared,
     decide,
 )
 from .sharers import SharerCount
@@ -27,8 +28,10 @@
     "NoticeReceived",
     "Obstacle",
     "ServerRemoved",
+    "SharedStatement",
     "SharerCount",
     "Source",
+    "StatementShared",
     "decide",
     "register_metrics",
 ]
--- a/packages/availability/src/fireflyrack/availability/log_events.py
+++ b/packages/availability/src/fireflyrack/availability/log_events.py
@@ -14,6 +14,7 @@
 
     kind: ClassVar[str] = "server_rate_limit_changed"
     server: str
+    # Empty if a peer reported it.
     service: str
     # Requests per second from all instances together; None without a limit.
     rate_per_s: float | None
@@ -31,6 +32,7 @@
 
     kind: ClassVar[str] = "server_leaving"
     server: str
+    # Empty if a peer reported it.
     service: str
     incarnation: int
     source: str
--- a/packages/availability/src/fireflyrack/availability/notices.py
+++ b/packages/availability/src/fireflyrack/availability/notices.py
@@ -10,6 +10,7 @@
     """Where a statement about a backend server comes from."""
 
     RESPONSE = "response"
+    PEER = "peer"
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,3 +47,16 @@
 
 
 NO_NOTICE = Notice()
+
+
+@dataclass(frozen=True, slots=True)
+class SharedStatement:
+    """What one instance has learned of a backend server, for its peers.
+
+    A closed time is not shared: the server asks for it from one instance only.
+    """
+
+    server: str
+    incarnation: int
+    leaving: bool
+    rate_limit: float | None
--- a/packages/availability/src/fireflyrack/availability/servers.py
+++ b/packages/availability/src/fireflyrack/availability/servers.py
@@ -20,13 +20,15 @@
     ServerReopened,
     StatementIgnored,
 )
-from .notices import Notice, Source
+from .notices import Notice, SharedStatement, Source
 from .quotas import PacedQuota, interval_of, open_quota
 from .sharers import SharerCount
 
 # Time for which it is remembered that a server leaves, longer than it goes on living.
 LEAVING_RETENTION_S = 600.0
 
+# An own observation of a rate limit that is not older goes before that of a peer.
+OWN_OBSERVATION_S = 1.0
 # A closed time that grows by less has no log line; many requests are refused at once.
 MIN_LOGGED_EXTENSION_S = 1.0
 
@@ -51,6 +53,14 @@
     accepted: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class StatementShared:
+    """Event: a peer has learned something of a backend server."""
+
+    at: float
+    statement: SharedStatement
+
+
 @dataclass(frozen=True, slots=True)
 class InstancesCounted:
     """Event: the number of registered entry instances changed."""
@@ -115,6 +125,13 @@
     # Longest time in seconds for which a server may ask for no requests.
     max_closure_s: float = 300.0
     servers: dict[str, StatedServer] = field(default_factory=dict)
+    # Statements that responses have changed since they were last taken, by server.
+    unshared: dict[str, SharedStatement] = field(default_factory=dict)
+
+    def take_unshared(self) -> tuple[SharedStatement, ...]:
+        """Return and clear the statements that peers may not know."""
+        statements, self.unshared = tuple(self.unshared.values()), {}
+        return statements
 
     def count(self, obstacle: Obstacle) -> int:
         """Return how many servers have stated a reason not to send to them freely."""
@@ -214,17 +231,61 @@
     server, notice = event.server, event.notice
     events = [StatementIgnored(server.id, text) for text in notice.unreadable]
     stated = table.find(server) or StatedServer(server.incarnation)
+    before = shared_statement(server.id, stated)
     events += apply_leaving(stated, event)
     events += apply_closure(stated, event, table)
     if not notice.unreadable:
         events += apply_rate_limit(stated, event, table)
-    if stated.obstacles:
-        table.servers[server.id] = stated
-    elif table.find(server) is not None:
-        del table.servers[server.id]
+    after = shared_statement(server.id, stated)
+    if after != before:
+        table.unshared[server.id] = after
+    store_statements(table, server.id, stated)
     return Decision(table, tuple(events))
 
 
+@decide.register
+def _(event: StatementShared, table: AvailabilityTable) -> Decision[AvailabilityTable]:
+    statement, at = event.statement, event.at
+    stated = table.servers.get(statement.server)
+    if stated is None or stated.incarnation < statement.incarnation:
+        stated = StatedServer(statement.incarnation)
+    if stated.incarnation != statement.incarnation:
+        return Decision(table)
+    events: list[LogEvent] = []
+    if statement.leaving and stated.leaving_since is None:
+        stated.leaving_since = at
+        source = Source.PEER.value
+        event = LeavingStated(statement.server, "", statement.incarnation, source)
+        events.append(event)
+    limit = stated.rate_limit
+    if limit is None or at - limit.confirmed_at > OWN_OBSERVATION_S:
+        update = RateLimitUpdate(at, statement.server, "", Source.PEER)
+        events += set_rate_limit(stated, statement.rate_limit, update, table)
+    store_statements(table, statement.server, stated)
+    return Decision(table, tuple(events))
+
+
+def shared_statement(server_id: str, stated: StatedServer) -> SharedStatement:
+    """Return the part of the statements of a server that concerns all instances."""
+    limit = stated.rate_limit
+    return SharedStatement(
+        server_id,
+        stated.incarnation,
+        stated.leaving_since is not None,
+        None if limit is None else limit.rate_per_s,
+    )
+
+
+def store_statements(
+    table: AvailabilityTable, server_id: str, stated: StatedServer
+) -> None:
+    """Store the statements of a server, or drop them if none holds any more."""
+    if stated.obstacles:
+        table.servers[server_id] = stated
+    elif table.servers.get(server_id) is stated:
+        del table.servers[server_id]
+
+
 @decide.register
 def _(event: InstancesCounted, table: AvailabilityTable) -> Decision[AvailabilityTable]:
     table.sharers.set(event.instances, event.rank, event.at)
@@ -284,32 +345,54 @@
     ]
 
 
+@dataclass(frozen=True, slots=True)
+class RateLimitUpdate:
+    """Time, server and source of a statement on a rate limit."""
+
+    at: float
+    server: str
+    # Empty if a peer reported it.
+    service: str
+    source: Source
+
+
 def apply_rate_limit(
     stated: StatedServer, event: NoticeReceived, table: AvailabilityTable
-) -> list[RateLimitChanged]:
+) -> list[LogEvent]:
     """Store the rate limit that a response names; a response without one ends it."""
-    at, rate = event.at, event.notice.rate_limit
-    previous = stated.rate_limit
+    server = event.server
+    update = RateLimitUpdate(event.at, server.id, server.service, Source.RESPONSE)
+    return set_rate_limit(stated, event.notice.rate_limit, update, table)
+
+
+def set_rate_limit(
+    stated: StatedServer,
+    rate: float | None,
+    update: RateLimitUpdate,
+    table: AvailabilityTable,
+) -> list[LogEvent]:
+    """Store, change or end the rate limit of a server; return a log event if so."""
+    at, previous = update.at, stated.rate_limit
     if rate is None:
         stated.rate_limit = None
     elif previous is None:
         sharers = table.sharers
         quota = open_quota(rate, sharers.at(at), sharers.rank, at, table.rng)
-        stated.rate_limit = RateLimit(rate, Source.RESPONSE, at, at, quota)
+        stated.rate_limit = RateLimit(rate, update.source, at, at, quota)
     else:
         stated.rate_limit = RateLimit(
-            rate, Source.RESPONSE, previous.since, at, previous.quota
+            rate, update.source, previous.since, at, previous.quota
         )
     previous_rate = previous.rate_per_s if previous else None
     if rate == previous_rate:
         return []
     return [
         RateLimitChanged(
-            server=event.server.id,
-            service=event.server.service,
+            server=update.server,
+            service=update.service,
             rate_per_s=rate,
             previous_per_s=previous_rate,
-            source=Source.RESPONSE.value,
+            source=update.source.value,
             held_s=at - previous.since if previous else 0.0,
             sharers=table.sharers.at(at),
         )
--- a/packages/availability/tests/test_servers.py
+++ b/packages/availability/tests/test_servers.py
@@ -9,7 +9,9 @@
     NoticeReceived,
     Obstacle,
     ServerRemoved,
+    SharedStatement,
     SharerCount,
+    StatementShared,
     decide,
 )
 from fireflyrack.availability.closures import TRIAL_TIMEOUT_S
@@ -194,3 +196,25 @@
     (ignored,) = receive(table, Notice(closed_for_s=1e9))
     assert isinstance(ignored, StatementIgnored)
     assert table.obstacle(SERVER, 1.0) is None
+
+
+def test_the_end_of_a_limit_that_a_peer_saw_frees_the_server():
+    """Guards against an instance with a small share that learns of the end last."""
+    table = make_table(instances=78)
+    receive(table, Notice(rate_limit=2.0), 1.0)
+    ended = SharedStatement(SERVER.id, SERVER.incarnation, False, None)
+    decide(StatementShared(1.5, ended), table)
+    assert table.find(SERVER).rate_limit, "the own observation is newer"
+    (lifted,) = decide(StatementShared(5.0, ended), table).actions
+    assert (lifted.rate_per_s, lifted.source) == (None, "peer")
+    assert table.obstacle(SERVER, 5.0) is None
+
+
+def test_a_peer_with_an_earlier_incarnation_changes_nothing():
+    """Guards against a late message about a server that has restarted."""
+    table = make_table()
+    restarted = dataclasses.replace(SERVER, incarnation=5)
+    decide(NoticeReceived(1.0, restarted, Notice(rate_limit=9.0)), table)
+    earlier = SharedStatement(SERVER.id, 4, True, 1.0)
+    assert decide(StatementShared(9.0, earlier), table).actions == ()
+    assert table.find(restarted).leaving_since is None
--- a/packages/forwarding/src/fireflyrack/forwarding/crashes.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/crashes.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field
 from functools import singledispatch
 
+from fireflyrack.availability import SharedStatement
+
 from .reports import ServerReport
 from .requests import CallerRequest
 
@@ -61,6 +63,7 @@
 
     servers: tuple[ServerReport, ...] = ()
     requests: tuple[CrashReport | ClearedReport, ...] = ()
+    statements: tuple[SharedStatement, ...] = ()
 
 
 @dataclass(slots=True)
--- a/packages/gateway/src/fireflyrack/gateway/instance.py
+++ b/packages/gateway/src/fireflyrack/gateway/instance.py
@@ -203,6 +203,7 @@
             log,
             self.fleet,
             self.crashes,
+            self.availability,
             caches,
             self.instance_cache,
             self.store_health,
--- a/packages/gateway/src/fireflyrack/gateway/sharing.py
+++ b/packages/gateway/src/fireflyrack/gateway/sharing.py
@@ -7,7 +7,8 @@
 from functools import singledispatch
 from typing import TYPE_CHECKING
 
-from fireflyrack.core import steady_now
+from fireflyrack.availability import AvailabilityTable, StatementShared
+from fireflyrack.core import StateMachine, steady_now
 from fireflyrack.discovery import EntryInstance, Item, PrefixCache, StoreHealth
 from fireflyrack.forwarding import (
     ClearedReport,
@@ -50,6 +51,7 @@
         log: EventLog,
         fleet: FleetHealth,
         crashes: CrashTracker,
+        availability: StateMachine[AvailabilityTable],
         caches: tuple[PrefixCache, ...],
         instance_cache: PrefixCache,
         store_health: StoreHealth,
@@ -60,6 +62,7 @@
         self.log = log
         self.fleet = fleet
         self.crashes = crashes
+        self.availability = availability
         self.caches = caches
         self.instance_cache = instance_cache
         self.store_health = store_health
@@ -151,6 +154,7 @@
         """Send new observations to the peers that need them."""
         self.log_crash_reports()
         server_reports = self.fleet.drain_reports(self.now())
+        statements = self.availability.state.take_unshared()
         for peer in self.instance_cache.table.entries.values():
             if peer.id == self.settings.id or not peer.peer_address:
                 continue
@@ -161,13 +165,11 @@
                 self.acknowledged_reports.get(peer.incarnation, 0)
             )
             delivery = self.deliveries.get(peer.peer_address)
+            update = PeerUpdate(
+                server_reports if same_domain else (), crash_reports, statements
+            )
             # Nothing is queued for a slow peer: server reports would be outdated.
-            if (crash_reports or (same_domain and server_reports)) and (
-                not delivery or delivery.done()
-            ):
-                update = PeerUpdate(
-                    server_reports if same_domain else (), crash_reports
-                )
+            if update != PeerUpdate() and (not delivery or delivery.done()):
                 self.deliveries[peer.peer_address] = asyncio.create_task(
                     self.deliver_update(peer, update, report_count)
                 )
@@ -194,6 +196,8 @@
             self.fleet.apply_report(peer, report, at)
         for report in update.requests:
             apply_report(report, self.crashes, at)
+        for statement in update.statements:
+            self.availability.feed(StatementShared(at, statement))
         if update.servers:
             self.log.record(
                 ServerReportsReceived(peer, tuple(r.server for r in update.servers))
--- a/packages/gateway/tests/test_sharing.py
+++ b/packages/gateway/tests/test_sharing.py
@@ -4,11 +4,26 @@
 
 import asyncio
 import dataclasses
+import random
 
 import pytest
 
-from fireflyrack.core import steady_now
-from fireflyrack.discovery import EntryInstance, Item, PrefixCache, StoreHealth
+from fireflyrack import availability
+from fireflyrack.availability import (
+    AvailabilityTable,
+    Notice,
+    NoticeReceived,
+    SharerCount,
+)
+from fireflyrack.core import StateMachine, steady_now
+from fireflyrack.discovery import (
+    BackendServer,
+    EntryInstance,
+    Item,
+    PrefixCache,
+    ServerState,
+    StoreHealth,
+)
 from fireflyrack.forwarding import (
     BudgetLimits,
     CallerRequest,
@@ -18,9 +33,11 @@
 )
 from fireflyrack.gateway import GatewaySettings
 from fireflyrack.gateway.sharing import PeerSharing
+from fireflyrack.routing import RoutingTable
 
 REQUEST = CallerRequest("r1", "h", "GET", "/crash", (), b"", 0.0, None)
 OWN_ADDRESS = "10.0.0.1:7"
+SERVER = BackendServer("s-1", "s", "10.0.0.5:80", "a", 2, ServerState.READY)
 
 
 class RecordingLog:
@@ -45,10 +62,14 @@
         self.sent.append((address, update))
         return True
 
-    async def fetch_items(self, address: str):
+    async def fetch_items(self, address: str, prefix: str = ""):
         return self.items_by_address.get(address)
 
 
+def decode_table(item: Item) -> RoutingTable:
+    return RoutingTable(int(item.value), item.revision)
+
+
 def instance(number: int, domain: str, incarnation: str = "i1") -> EntryInstance:
     address = f"10.0.0.{number}:7"
     return EntryInstance(
@@ -65,6 +86,14 @@
         )
         self.fleet = FleetHealth(BudgetLimits(0.2, 50, 10.0))
         self.crashes = CrashTracker()
+        self.availability = StateMachine(
+            AvailabilityTable(random.Random(1), SharerCount(3)),
+            availability.decide,
+            self.log.record,
+        )
+        self.configuration_cache = PrefixCache(
+            "op/", decode_table, self.log, health, steady_now, leased=False
+        )
         settings = GatewaySettings(
             id="e1",
             failure_domain="a",
@@ -79,7 +108,8 @@
             self.log,
             self.fleet,
             self.crashes,
-            (self.instance_cache,),
+            self.availability,
+            (self.instance_cache, self.configuration_cache),
             self.instance_cache,
             health,
             lambda: bool(self.instance_cache.table.entries),
@@ -159,3 +189,21 @@
     assert [e.kind for e in env.log.events] == ["peer_beliefs_adopted"]
     # Items of a peer are taken only before the first listing.
     assert not env.instance_cache.seed((Item("e/e9", value, 9),))
+
+
+async def test_statements_of_servers_reach_all_peers_once(env):
+    """Guards against peers that go on sending to a server that leaves or limits."""
+    notice = Notice(rate_limit=3.0, leaving=True)
+    for at in (1.0, 2.0):
+        env.availability.feed(NoticeReceived(at, SERVER, notice))
+    updates = await env.send_updates()
+    assert [address for address, _ in updates] == ["10.0.0.2:7", "10.0.0.3:7"]
+    other = SharingEnvironment()
+    other.add_instances(instance(1, "a"), instance(2, "a"), instance(3, "b"))
+    other.sharing.apply_update("e1", updates[0][1])
+    stated = other.availability.state.find(SERVER)
+    assert stated.leaving_since is not None
+    assert stated.rate_limit.rate_per_s == 3.0
+    # What a peer reported is not passed on.
+    assert await other.send_updates() == []
+    assert await env.send_updates() == []
--- a/packages/peers/src/fireflyrack/peers/messages.py
+++ b/packages/peers/src/fireflyrack/peers/messages.py
@@ -6,6 +6,7 @@
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 
+from fireflyrack.availability import SharedStatement
 from fireflyrack.discovery import Item
 from fireflyrack.forwarding import (
     ClearedReport,
@@ -33,7 +34,10 @@
     """
 
     model_config = ConfigDict(
-        extra="ignore", ser_json_bytes="base64", val_json_bytes="base64"
+        extra="ignore",
+        allow_inf_nan=False,
+        ser_json_bytes="base64",
+        val_json_bytes="base64",
     )
 
 
@@ -51,6 +55,8 @@
 
     servers: list[tuple[str, int, float, float, float]] = []
     requests: list[CrashReportModel] = []
+    # Server, incarnation, whether it leaves, and its rate limit.
+    statements: list[tuple[str, int, bool, float | None]] = []
 
 
 class ItemModel(PeerModel):
@@ -81,6 +87,10 @@
             for report in update.servers[:MAX_REPORTS]
         ],
         requests=[report_to_model(report) for report in update.requests[:MAX_REPORTS]],
+        statements=[
+            (s.server, s.incarnation, s.leaving, s.rate_limit)
+            for s in update.statements[:MAX_REPORTS]
+        ],
     )
     return model.model_dump_json(exclude_defaults=True).encode()
 
@@ -115,6 +125,7 @@
     return PeerUpdate(
         tuple(ServerReport(*row) for row in model.servers[:MAX_REPORTS]),
         tuple(model_to_report(request) for request in model.requests[:MAX_REPORTS]),
+        tuple(SharedStatement(*row) for row in model.statements[:MAX_REPORTS]),
     )
 
 
