Ask peers for a later configuration at the start of an instance

Cause: an instance that starts beside a restored store lists the configuration of the copy. Until the operator has written the newest one again it would serve an earlier version than its peers, which a running instance never does.

At its start an instance asks up to three registered peers for their entries without a lease, which are the configuration, and adopts those of a later version. The request names the prefix, so that the answer holds no backend servers; a peer of an earlier release sends all.

Shown by a test without network; the code before asked peers only while the store did not answer.

--- a/packages/discovery/src/fireflyrack/discovery/prefix_cache.py
+++ b/packages/discovery/src/fireflyrack/discovery/prefix_cache.py
@@ -19,6 +19,7 @@
 )
 from .health import StoreHealth
 from .log_events import EntryRejected, EntryStateChanged
+from .order import is_earlier
 from .servers import UnreadableEntry
 from .store import Deletion, Item
 
@@ -113,6 +114,15 @@
         self.apply_listing(items)
         return True
 
+    def adopt_newer(self, items: tuple[Item, ...]) -> None:
+        """Apply the items of a peer that are later states of entries in use."""
+        for item in items:
+            known = self.table.entries.get(item.key)
+            value = self.decode_value(item)
+            if value is not None and known is not None and is_earlier(known, value):
+                self.machine.feed(entries.EntryWritten(self.now(), item.key, value))
+                self.keep_item(item, value)
+
     def apply_changes(
         self, changes: tuple[Item | Deletion, ...], revision: int
     ) -> None:
--- a/packages/gateway/src/fireflyrack/gateway/sharing.py
+++ b/packages/gateway/src/fireflyrack/gateway/sharing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 from functools import singledispatch
 from typing import TYPE_CHECKING
@@ -35,6 +36,8 @@
 
 # Interval at which batched observations are sent to peers.
 BATCH_INTERVAL_S = 0.1
+# Peers that an instance asks for later states of its entries when it starts.
+MAX_PEERS_ASKED = 3
 # Interval of the checks and of the fetches from peers until this instance is synced.
 POLL_INTERVAL_S = 0.1
 
@@ -68,6 +71,7 @@
         self.store_health = store_health
         self.synced = synced
         self.now = now
+        self.rng = random.Random()
         self.exchange: PeerExchange | None = None
         self.deliveries: dict[str, asyncio.Task[None]] = {}
         # Number of own crash reports that each peer acknowledged, by its incarnation.
@@ -99,6 +103,7 @@
         while not self.synced():
             await self.fetch_from_peers()
             await asyncio.sleep(POLL_INTERVAL_S)
+        await self.fetch_newer_entries()
         while True:
             await asyncio.sleep(BATCH_INTERVAL_S)
             self.send_updates()
@@ -144,6 +149,25 @@
             if adopted:
                 self.log.record(PeerItemsAdopted(address, adopted))
 
+    async def fetch_newer_entries(self) -> None:
+        """Adopt entries without a lease that peers know in a later state.
+
+        A store that was restored from a backup may list an earlier configuration to an
+        instance that starts before the operator has written the newest one again.
+        """
+        peers = [
+            peer.peer_address
+            for peer in self.instance_cache.table.entries.values()
+            if peer.id != self.settings.id and peer.peer_address
+        ]
+        asked = self.rng.sample(peers, min(len(peers), MAX_PEERS_ASKED))
+        for cache in self.caches:
+            if cache.table.leased:
+                continue
+            fetches = (self.exchange.fetch_items(a, cache.prefix) for a in asked)
+            for items in await asyncio.gather(*fetches):
+                cache.adopt_newer((items or {}).get(cache.prefix, ()))
+
     async def fetch_items(
         self, address: str
     ) -> tuple[str, dict[str, tuple[Item, ...]]]:
--- a/packages/gateway/tests/test_sharing.py
+++ b/packages/gateway/tests/test_sharing.py
@@ -207,3 +207,13 @@
     # What a peer reported is not passed on.
     assert await other.send_updates() == []
     assert await env.send_updates() == []
+
+
+async def test_a_starting_instance_adopts_a_later_configuration_of_a_peer(env):
+    """Guards against a start that brings an earlier version back into force."""
+    env.configuration_cache.apply_current_listing((Item("op/config", b"4", 9),), 9)
+    for address, version in (("10.0.0.2:7", b"7"), ("10.0.0.3:7", b"3")):
+        items = {"op/": (Item("op/config", version, 5),)}
+        env.exchange.items_by_address[address] = items
+    await env.sharing.fetch_newer_entries()
+    assert env.configuration_cache.table.entries["op/config"].version == 7
--- a/packages/peers/src/fireflyrack/peers/exchange.py
+++ b/packages/peers/src/fireflyrack/peers/exchange.py
@@ -79,9 +79,12 @@
             await self.request(address, UPDATE_KIND, encode_update(update)) is not None
         )
 
-    async def fetch_items(self, address: str) -> ItemsByPrefix | None:
-        """Return the cached items of a peer, None if it does not send valid ones."""
-        body = await self.request(address, ITEMS_KIND, b"")
+    async def fetch_items(self, address: str, prefix: str = "") -> ItemsByPrefix | None:
+        """Return the cached items of a peer below a store prefix, None on failure.
+
+        A peer of an earlier release sends the items of all prefixes.
+        """
+        body = await self.request(address, ITEMS_KIND, prefix.encode())
         if body is None:
             return None
         items = decode_items(body)
@@ -125,5 +128,7 @@
     async def handle_items_request(
         self, message: IncomingMessage, respond: Respond
     ) -> bytes:
-        """Return the encoded cached items of this instance."""
-        return encode_items(self.cached_items())
+        """Return the encoded cached items below the prefix in the request."""
+        wanted = message.body.decode("utf-8", "replace")
+        items = self.cached_items()
+        return encode_items({p: items[p] for p in items if p.startswith(wanted)})
