Add faulty responses and restorations of the store to the soak

Doubled answers, cut heads, endless heads, a Retry-After, a rate limit, and a store that is restored from a copy whose writers write again. The steps are drawn apart, so that the seeds of regression cases keep their plans.

--- a/tests/platform/cluster.py
+++ b/tests/platform/cluster.py
@@ -48,6 +48,7 @@
         self.servers: dict[str, StandInServer] = {}
         self.gateways: dict[str, Gateway] = {}
         self.version = 0
+        self.last_configuration: dict = {}
         self.stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Cluster:
@@ -109,6 +110,7 @@
                 "idleTimeoutMs": 15000,
             },
         }
+        self.last_configuration = configuration
         await self.store.write("op/config", configuration)
 
     async def start(self, name: str = "g0", wait: bool = True) -> Gateway:
--- a/tests/platform/stand_in_store.py
+++ b/tests/platform/stand_in_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 from dataclasses import dataclass, field
 
@@ -42,6 +43,17 @@
     calls: dict[str, int] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Backup of the store."""
+
+    items: dict[str, StoredItem]
+    revision: int
+    events: list[dict]
+    compacted_revision: int
+    leases: dict[int, tuple[float, float]]
+
+
 class StandInStore:
     """Store server in this process; use it as a context manager."""
 
@@ -89,6 +101,19 @@
         self.events.clear()
         self.compacted_revision = self.revision
 
+    def copy(self) -> StoreCopy:
+        """Return a backup of the store."""
+        state = (self.items, self.revision, self.events, self.compacted_revision)
+        return StoreCopy(*copy.deepcopy(state), dict(self.leases))
+
+    def restore(self, backup: StoreCopy) -> None:
+        """Continue from a backup; its revisions and lease ids are given out again."""
+        self.items, self.revision = backup.items, backup.revision
+        self.events, self.compacted_revision = backup.events, backup.compacted_revision
+        now = steady_now()
+        self.leases = {id: (now + ttl, ttl) for id, (_, ttl) in backup.leases.items()}
+        self.era += 1
+
     def encode_item(self, key: str) -> dict:
         """Return an item in the format of a reply."""
         item = self.items[key]
@@ -176,7 +201,7 @@
         after = int(query["after"])
         until = steady_now() + int(query["waitMs"]) / 1000
         while True:
-            if after < self.compacted_revision:
+            if after < self.compacted_revision or after > self.revision:
                 return 410, {}
             events = [
                 event
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -16,6 +16,7 @@
 REPLICAS = 2
 # Longest fault, in seconds; short enough that several in a row stay within the bounds.
 MAX_FAULT_S = 2.5
+MISBEHAVIOURS = ("doubled", "cut head", "endless", "closing", "limited")
 SERVER_FAULTS = (
     Fault.RESET,
     Fault.REFUSE,
@@ -99,6 +100,23 @@
     """Write the next version of the configuration."""
 
 
+@dataclass(frozen=True, slots=True)
+class MisbehaveServer:
+    """Have a backend server send faulty responses, or state something about itself."""
+
+    server: str
+    kind: str
+    duration_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RestoreStore:
+    """Restore the store from a copy of a given age; its writers write again."""
+
+    age_s: float
+    away_s: float
+
+
 Step = (
     StopGateway
     | KillGateway
@@ -110,6 +128,8 @@
     | InjectStoreFault
     | CompactHistory
     | WriteConfiguration
+    | MisbehaveServer
+    | RestoreStore
 )
 
 
@@ -131,8 +151,12 @@
     )
 
 
-def make_plan(seed: int, duration_s: float) -> Plan:
-    """Return the plan of a seed; faults occur alone, in series and together."""
+def make_plan(seed: int, duration_s: float, extended: bool = True) -> Plan:
+    """Return the plan of a seed; faults occur alone, in series and together.
+
+    Steps that were added later are drawn apart, so that earlier seeds keep their plans;
+    they are left out unless the plan is `extended`.
+    """
     rng = random.Random(seed)
     steps: list[tuple[float, Step]] = []
     at = 0.5
@@ -140,9 +164,25 @@
         steps.append((at, draw_step(rng)))
         # Some faults start together, some while the previous one is still active.
         at += rng.choice((0.0, 0.1, 0.4, rng.uniform(0.5, 2.0)))
+    if extended:
+        steps += draw_added_steps(random.Random(f"{seed} added"), duration_s)
+        steps.sort(key=lambda step: step[0])
     return Plan(seed, duration_s, tuple(steps))
 
 
+def draw_added_steps(rng: random.Random, duration_s: float) -> list[tuple[float, Step]]:
+    """Return steps with faulty responses and restorations of the store."""
+    steps: list[tuple[float, Step]] = []
+    at = rng.uniform(0.5, 2.0)
+    while at < duration_s:
+        server, kind = rng.choice(server_names()), rng.choice(MISBEHAVIOURS)
+        steps.append((at, MisbehaveServer(server, kind, rng.uniform(0.5, MAX_FAULT_S))))
+        if rng.random() < 0.2:
+            steps.append((at, RestoreStore(rng.uniform(0.3, 2.0), rng.uniform(0, 1.0))))
+        at += rng.uniform(0.3, 2.0)
+    return steps
+
+
 def draw_step(rng: random.Random) -> Step:
     """Return a random step."""
     gateway, server = rng.choice(GATEWAYS), rng.choice(server_names())
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,9 +15,12 @@
 from soak_cluster import SoakCluster
 
 
-async def soak(seed: int, duration_s: float, folder: Path) -> list[str]:
+async def soak(
+    seed: int, duration_s: float, folder: Path, extended: bool = True
+) -> list[str]:
     """Run the plan of a seed; return all violations of the guarantees."""
-    async with SoakCluster(folder, make_plan(seed, duration_s)) as soak_cluster:
+    plan = make_plan(seed, duration_s, extended)
+    async with SoakCluster(folder, plan) as soak_cluster:
         records = await soak_cluster.run()
     counts = f"{len(records.results)} requests, {len(records.runs)} runs"
     served = sum(result.status == 200 for result in records.results)
--- a/tests/soak/soak_cluster.py
+++ b/tests/soak/soak_cluster.py
@@ -23,9 +23,11 @@
     InjectServerFault,
     InjectStoreFault,
     KillGateway,
+    MisbehaveServer,
     PauseGateway,
     Plan,
     ReloadGateway,
+    RestoreStore,
     StopGateway,
     WriteConfiguration,
     server_names,
@@ -72,11 +74,15 @@
         self.rng = random.Random(plan.seed)
         self.records = Records()
         self.proxies: dict[str, FaultProxy] = {}
+        # Registrations in the store, and those of servers that drain.
         self.registrations: dict[str, dict] = {}
+        self.draining: dict[str, dict] = {}
+        self.misbehaviours: dict[str, str] = {}
         self.starts = dict.fromkeys(GATEWAYS, 0)
         self.targets_in_use: set[str] = set()
         self.ids = count()
         self.server_numbers = count(100)
+        self.sequences = count(1)
         self.store_faults = 0
         self.ending = False
 
@@ -120,7 +126,9 @@
         proxy = FaultProxy(free_address(), server.address)
         await self.stack.enter_async_context(proxy)
         self.proxies[name] = proxy
-        self.registrations[name] = server.registration(address=proxy.address)
+        self.registrations[name] = server.registration(
+            address=proxy.address, sequence=next(self.sequences)
+        )
         await self.store.write(f"servers/{name}", self.registrations[name])
 
     async def serve(self, server: StandInServer, request: ReceivedRequest) -> Reply:
@@ -131,6 +139,10 @@
         expected = request.headers.get(names.EXPECTED_SERVER.lower())
         if expected not in (None, server.id):
             return Reply(encode_response(request, b"", "421 Misdirected Request"))
+        misbehaviour = self.misbehaviours.get(server.id, "")
+        if misbehaviour == "closing":
+            closed = {names.NOT_RUN: "1", "Retry-After": "0.5"}
+            return Reply(encode_response(request, b"", "503 Unavailable", closed))
         id = request.headers[names.REQUEST_ID.lower()]
         run = (id, server.id, server.service, request.method, request.target)
         records.runs.append(Run(steady_now(), *run, request.body))
@@ -141,7 +153,10 @@
             body = plain_body(id, server.id, request.target)
         signature = signature_of(id, server.id)
         headers = {names.SIGNATURE: signature, names.SERVER_LOAD: "1,0,2"}
-        return Reply(encode_response(request, body, headers=headers))
+        if misbehaviour == "limited":
+            headers[names.RATE_LIMIT] = "5.0"
+        whole = encode_response(request, body, headers=headers)
+        return misbehave(misbehaviour, whole)
 
     async def call_until_end(self) -> None:
         """Send requests on keep-alive connections until the soak test ends."""
@@ -298,12 +313,16 @@
             if not acquired or name not in self.registrations:
                 return
             await self.add(f"{name.partition('-')[0]}-{next(self.server_numbers)}")
-            registration = self.registrations.pop(name)
-            await self.store.write(
-                f"servers/{name}", {**registration, "state": "draining"}
-            )
+            registration = {
+                **self.registrations.pop(name),
+                "state": "draining",
+                "sequence": next(self.sequences),
+            }
+            self.draining[name] = registration
+            await self.store.write(f"servers/{name}", registration)
             self.records.drains.append(Drain(steady_now(), name))
             await asyncio.sleep(DRAIN_S)
+            del self.draining[name]
             await self.store.remove(f"servers/{name}")
             await self.proxies[name].set_fault(Fault.REFUSE)
 
@@ -334,6 +353,36 @@
                     faults.refuse_with = 0
                     faults.silent = faults.lose_replies = False
 
+    @perform.register
+    async def _(self, step: MisbehaveServer) -> None:
+        with self.exclusive(step.server) as acquired:
+            if acquired:
+                async with self.record_fault(step.server, step.kind):
+                    self.misbehaviours[step.server] = step.kind
+                    await asyncio.sleep(step.duration_s)
+                    del self.misbehaviours[step.server]
+
+    @perform.register
+    async def _(self, step: RestoreStore) -> None:
+        with self.exclusive("") as acquired:
+            if not acquired:
+                return
+            backup = self.store.copy()
+            await asyncio.sleep(step.age_s)
+            async with self.record_fault("", "restored"):
+                self.store.faults.refuse_with = 503
+                await asyncio.sleep(step.away_s)
+                self.store.restore(backup)
+                self.store.faults.refuse_with = 0
+                await self.write_again()
+
+    async def write_again(self) -> None:
+        """Write what the operator and the backend servers have last written."""
+        await self.store.write("op/config", self.last_configuration)
+        for name, registration in {**self.registrations, **self.draining}.items():
+            value = {**registration, "sequence": next(self.sequences)}
+            await self.store.write(f"servers/{name}", value)
+
     @perform.register
     async def _(self, step: CompactHistory) -> None:
         self.store.compact_history()
@@ -355,3 +404,15 @@
         self.records.versions.append(
             ConfigurationVersion(steady_now(), self.version, service)
         )
+
+
+def misbehave(kind: str, whole: bytes) -> Reply:
+    """Return the reply of a server with a misbehaviour, if it has one."""
+    head_end = whole.index(b"\r\n\r\n")
+    if kind == "doubled":
+        return Reply(whole + whole)
+    if kind == "cut head":
+        return Reply(whole[: head_end // 2], close=True)
+    if kind == "endless":
+        return Reply(whole[:head_end], endless=b"X-More: y\r\n" * 100)
+    return Reply(whole)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -33,7 +33,8 @@
 @pytest.mark.parametrize("seed", (1, *REGRESSIONS))
 async def test_gateway_guarantees_hold_under_faults(seed, tmp_path):
     """Guards against defects that appear only when injected faults overlap."""
-    assert await soak(seed, SHORT_S, tmp_path) == []
+    extended = seed not in REGRESSIONS
+    assert await soak(seed, SHORT_S, tmp_path, extended) == []
 
 
 def test_plan_is_deterministic_for_a_seed():
