--- a/packages/availability/src/fireflyrack/availability/__init__.py
+++ b/packages/availability/src/fireflyrack/availability/__init__.py
@@ -6,18 +6,17 @@
 
 from __future__ import annotations
 
-from .metrics import register_metrics
-from .notices import NO_NOTICE, Load, Notice, SharedStatement, Source
-from .servers import (
-    AvailabilityTable,
+from .decisions import decide
+from .events import (
     InstancesCounted,
     NoticeReceived,
-    Obstacle,
     ServerRemoved,
     StatementShared,
-    decide,
 )
+from .metrics import register_metrics
+from .notices import NO_NOTICE, Load, Notice, SharedStatement, Source
 from .sharers import SharerCount
+from .table import AvailabilityTable, Obstacle
 
 __all__ = [
     "NO_NOTICE",
--- a/packages/availability/src/fireflyrack/availability/metrics.py
+++ b/packages/availability/src/fireflyrack/availability/metrics.py
@@ -4,7 +4,7 @@
 
 from prometheus_client import CollectorRegistry, Gauge
 
-from .servers import AvailabilityTable, Obstacle
+from .table import AvailabilityTable, Obstacle
 
 
 def register_metrics(registry: CollectorRegistry, table: AvailabilityTable) -> None:
--- a/packages/availability/tests/test_servers.py
+++ b/packages/availability/tests/test_servers.py
@@ -15,6 +15,7 @@
     decide,
 )
 from fireflyrack.availability.closures import TRIAL_TIMEOUT_S
+from fireflyrack.availability.decisions import LEAVING_RETENTION_S
 from fireflyrack.availability.log_events import (
     LeavingStated,
     RateLimitChanged,
@@ -22,7 +23,6 @@
     ServerReopened,
     StatementIgnored,
 )
-from fireflyrack.availability.servers import LEAVING_RETENTION_S
 from fireflyrack.discovery import BackendServer, ServerState
 
 SERVER = BackendServer("s-1", "s", "10.0.0.1:80", "d", 2, ServerState.READY)
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -9,7 +9,7 @@
 ROOT = Path(__file__).parents[2]
 ADAPTER = ROOT / "platform" / "src"
 PLATFORM_NAMES = re.compile(
-    r"/-/|X-Fireflyrack-|FIREFLYRACK_NODE_FILE|"
+    r"/-/|X-Fireflyrack-|Server-Limit|Server-Leaving|Store-Era|FIREFLYRACK_NODE_FILE|"
     r"\b(sloMs|topK|minCoverage|coldLeftMs|nodeName|maxAttempts|maxConns|"
     r"expectedRev|storeRevision|morePages|serializable|retrySlack|innerPorts)\b"
 )
