Close the control addresses of a stopping process before its exit

test_process_exits_within_the_grace_period_with_work_in_flight failed once more, at a load of 16: what uvicorn takes to close lay between the last phase and the end of the process.

--- a/packages/gateway/src/fireflyrack/gateway/process.py
+++ b/packages/gateway/src/fireflyrack/gateway/process.py
@@ -17,6 +17,10 @@
 from .serving import HttpServer
 from .shutdown import CloseListeners, Exit, ShutdownState, Withdraw
 
+# Closing the control addresses takes about this long, and nothing needs them any more
+# shortly before the exit.
+CONTROL_CLOSE_LEAD_S = 0.25
+
 
 class GatewayProcess:
     """Run a gateway until a stop signal; await `run` once."""
@@ -106,6 +110,7 @@
         self.log_phase()
         self.start_phase_timer(action.until)
         self.spawn(self.close_listeners())
+        self.spawn(self.close_control_server(action.until - CONTROL_CLOSE_LEAD_S))
 
     @perform.register
     def _(self, action: Exit) -> None:
@@ -118,6 +123,11 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    async def close_control_server(self, at: float) -> None:
+        """Close the control addresses at a steady time, before the exit."""
+        await asyncio.sleep(at - self.gateway.now())
+        await self.control_server.close()
+
     async def close_listeners(self) -> None:
         """Stop listening, finish the requests in flight and report that."""
         await self.caller_server.close()
