Keep the statements of a server whose registration lapses

A registration that lapses while its server lives, as in an outage of the store, dropped the rate limit and the closed time, so that the first requests after its return knew of neither. They are kept for ten minutes now, as those of a server that leaves were, and dropped after that, also where no removal was seen. A refusal that names no limit ends none. Found by reading; shown by two tests that fail on the code before (the entry was gone, the limit was lifted).

--- a/packages/availability/src/fireflyrack/availability/decisions.py
+++ b/packages/availability/src/fireflyrack/availability/decisions.py
@@ -27,9 +27,9 @@
 from .quotas import open_quota
 from .table import AvailabilityTable, RateLimit, StatedServer
 
-# Time for which it is remembered that a server leaves, longer than it goes on living.
-LEAVING_RETENTION_S = 600.0
-
+# Time for which the statements of a server that leaves, or is no longer registered, are
+# kept. It is longer than such a server goes on living.
+DEPARTED_RETENTION_S = 600.0
 # An own observation of a rate limit that is not older goes before that of a peer.
 OWN_OBSERVATION_S = 1.0
 # A closed time that grows by less has no log line; many requests are refused at once.
@@ -111,12 +111,11 @@
 @decide.register
 def _(event: ServerRemoved, table: AvailabilityTable) -> Decision[AvailabilityTable]:
     stated = table.find(event.server)
-    if stated is not None and stated.leaving_since is None:
-        del table.servers[event.server.id]
-    # The registration of a server that leaves may lapse and come back.
+    if stated is not None:
+        stated.removed_at = event.at
     for id, known in tuple(table.servers.items()):
-        since = known.leaving_since
-        if since is not None and event.at > since + LEAVING_RETENTION_S:
+        departed_at = known.removed_at or known.leaving_since
+        if departed_at is not None and event.at > departed_at + DEPARTED_RETENTION_S:
             del table.servers[id]
     return Decision(table)
 
@@ -175,7 +174,12 @@
 def apply_rate_limit(
     stated: StatedServer, event: NoticeReceived, table: AvailabilityTable
 ) -> list[LogEvent]:
-    """Store the rate limit that a response names; a response without one ends it."""
+    """Store the rate limit that a response names; a response without one ends it.
+
+    A refusal ends no limit: whatever made it may not know of the limit.
+    """
+    if event.notice.rate_limit is None and not event.accepted:
+        return []
     server = event.server
     update = RateLimitUpdate(event.at, server.id, server.service, Source.RESPONSE)
     return set_rate_limit(stated, event.notice.rate_limit, update, table)
--- a/packages/availability/src/fireflyrack/availability/table.py
+++ b/packages/availability/src/fireflyrack/availability/table.py
@@ -46,6 +46,8 @@
     leaving_since: float | None = None
     closure: Closure | None = None
     rate_limit: RateLimit | None = None
+    # Time at which its registration ended. It may come back, with what was stated.
+    removed_at: float | None = None
 
     @property
     def obstacles(self) -> tuple[Obstacle, ...]:
@@ -79,8 +81,11 @@
         return statements
 
     def count(self, obstacle: Obstacle) -> int:
-        """Return how many servers have stated a reason not to send to them freely."""
-        return sum(obstacle in stated.obstacles for stated in self.servers.values())
+        """Return how many registered servers have stated a kind of obstacle."""
+        return sum(
+            stated.removed_at is None and obstacle in stated.obstacles
+            for stated in self.servers.values()
+        )
 
     def find(self, server: BackendServer) -> StatedServer | None:
         """Return the statements of this incarnation of a server, if any."""
