Announce a rate limit only when it changes by a tenth

A server that names a slightly different rate in each response would write a log line and a message to all peers for each. The quota follows each figure as before. Found by reading; shown by a test that fails without the threshold (each response gave a line).

--- a/packages/availability/src/fireflyrack/availability/decisions.py
+++ b/packages/availability/src/fireflyrack/availability/decisions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import singledispatch
 
 from fireflyrack.core import Decision
@@ -32,6 +32,9 @@
 DEPARTED_RETENTION_S = 600.0
 # An own observation of a rate limit that is not older goes before that of a peer.
 OWN_OBSERVATION_S = 1.0
+# Fraction by which a rate must change to be logged and shared. A server may name a
+# slightly different one in each response.
+ANNOUNCED_CHANGE_FRACTION = 0.1
 # A closed time that grows by less has no log line; many requests are refused at once.
 MIN_LOGGED_EXTENSION_S = 1.0
 
@@ -88,7 +91,7 @@
         server_id,
         stated.incarnation,
         stated.leaving_since is not None,
-        None if limit is None else limit.rate_per_s,
+        None if limit is None else limit.announced_per_s,
     )
 
 
@@ -185,6 +188,11 @@
     return set_rate_limit(stated, event.notice.rate_limit, update, table)
 
 
+def is_notable_change(rate: float, announced: float) -> bool:
+    """Return whether a rate differs so much from an earlier one that others care."""
+    return abs(rate - announced) > ANNOUNCED_CHANGE_FRACTION * announced
+
+
 def set_rate_limit(
     stated: StatedServer,
     rate: float | None,
@@ -193,18 +201,24 @@
 ) -> list[LogEvent]:
     """Store, change or end the rate limit of a server; return a log event if so."""
     at, previous = update.at, stated.rate_limit
+    previous_rate = previous.announced_per_s if previous else None
     if rate is None:
         stated.rate_limit = None
     elif previous is None:
         sharers = table.sharers
         quota = open_quota(rate, sharers.at(at), sharers.rank, at, table.rng)
-        stated.rate_limit = RateLimit(rate, update.source, at, at, quota)
+        stated.rate_limit = RateLimit(rate, rate, update.source, at, at, quota)
     else:
-        stated.rate_limit = RateLimit(
-            rate, update.source, previous.since, at, previous.quota
+        announced = rate if is_notable_change(rate, previous_rate) else previous_rate
+        stated.rate_limit = replace(
+            previous,
+            rate_per_s=rate,
+            announced_per_s=announced,
+            source=update.source,
+            confirmed_at=at,
         )
-    previous_rate = previous.rate_per_s if previous else None
-    if rate == previous_rate:
+    limit = stated.rate_limit
+    if (limit.announced_per_s if limit else None) == previous_rate:
         return []
     return [
         RateLimitChanged(
--- a/packages/availability/src/fireflyrack/availability/table.py
+++ b/packages/availability/src/fireflyrack/availability/table.py
@@ -30,6 +30,8 @@
 
     # Requests per second from all instances together.
     rate_per_s: float
+    # The rate that was last logged and shared; small changes of the rate are neither.
+    announced_per_s: float
     source: Source
     # Time at which the server was first and last observed to state it.
     since: float
--- a/packages/availability/tests/test_servers.py
+++ b/packages/availability/tests/test_servers.py
@@ -50,6 +50,19 @@
     assert not table.servers
 
 
+def test_a_rate_that_varies_a_little_is_followed_but_not_announced():
+    """Guards against a line, and a message to all peers, for each response."""
+    table = make_table()
+    receive(table, Notice(rate_limit=10.0), 1.0)
+    table.take_unshared()
+    for number, rate in enumerate((10.4, 9.6, 10.9, 9.2)):
+        assert receive(table, Notice(rate_limit=rate), 2.0 + number) == ()
+        assert table.find(SERVER).rate_limit.rate_per_s == rate
+    assert table.take_unshared() == ()
+    (changed,) = receive(table, Notice(rate_limit=8.0), 9.0)
+    assert (changed.rate_per_s, changed.previous_per_s) == (8.0, 10.0)
+
+
 def test_an_unreadable_statement_is_logged_and_changes_nothing():
     """Guards against a malformed value that lifts a limit or raises an error."""
     table = make_table()
