--- a/packages/forwarding/src/fireflyrack/forwarding/refusals.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/refusals.py
@@ -1,4 +1,4 @@
-"""Refusals: when callers may return, and what servers lacked permits for them."""
+"""Refusals: which requests are refused, and when their callers may return."""
 
 from __future__ import annotations
 
