--- a/packages/forwarding/src/fireflyrack/forwarding/refusals.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/refusals.py
@@ -12,7 +12,7 @@
 DURATION_FACTOR = 2.0
 # Callers that are refused at the same moment return spread over this fraction of their
 # delay.
-RETRY_SPREAD_FRACTION = 0.5
+RETRY_SPREAD_FRACTION = 0.25
 
 
 def outlasts_instance(state: RequestState, at: float) -> bool:
