--- a/tests/scripts/test_install.py
+++ b/tests/scripts/test_install.py
@@ -21,6 +21,7 @@
     "telemetry",
     "routing",
     "discovery",
+    "availability",
     "links",
     "forwarding",
     "peers",
