--- a/packages/availability/src/fireflyrack/availability/decisions.py
+++ b/packages/availability/src/fireflyrack/availability/decisions.py
@@ -73,9 +73,8 @@
     events: list[LogEvent] = []
     if statement.leaving and stated.leaving_since is None:
         stated.leaving_since = at
-        source = Source.PEER.value
-        event = LeavingStated(statement.server, "", statement.incarnation, source)
-        events.append(event)
+        source, incarnation = Source.PEER.value, statement.incarnation
+        events.append(LeavingStated(statement.server, "", incarnation, source))
     limit = stated.rate_limit
     if limit is None or at - limit.confirmed_at > OWN_OBSERVATION_S:
         update = RateLimitUpdate(at, statement.server, "", Source.PEER)
--- a/packages/availability/tests/test_fleet_limits.py
+++ b/packages/availability/tests/test_fleet_limits.py
@@ -1,11 +1,15 @@
 """A rate limit that many instances share, without network; fixed seeds.
 
 Each instance decides alone. The sum of what they send is checked in sliding windows.
+By hand, with more seeds:
+
+    FLEET_SEEDS=60 pytest packages/availability/tests/test_fleet_limits.py
 """
 
 from __future__ import annotations
 
 import heapq
+import os
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -23,6 +27,7 @@
 from fireflyrack.discovery import BackendServer, ServerState
 
 SERVER = BackendServer("s-1", "s", "10.0.0.1:80", "d", 2, ServerState.READY)
+SEEDS = int(os.environ.get("FLEET_SEEDS", "0"))
 # The users' bound: within any window, a multiple of the limit plus some requests.
 WINDOW_S = 4.0
 ALLOWED_FACTOR = 1.5
@@ -117,7 +122,7 @@
 
 @pytest.mark.parametrize("instances", [1, 4, 31, 78, 300])
 @pytest.mark.parametrize("limit", [0.0, 2.0, 8.0, 26.0])
-@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("seed", range(SEEDS or 3))
 def test_a_fleet_under_steady_pressure_keeps_the_limit(instances, limit, seed):
     """Guards against a sum over the limit, at four instances as at hundreds."""
     fleet = Fleet(limit, steady(6 * limit + 20), instances, seed).run()
@@ -127,7 +132,7 @@
 
 @pytest.mark.parametrize("instances", [4, 31, 78, 300])
 @pytest.mark.parametrize("limit", [8.0, 26.0])
-@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("seed", range(SEEDS or 3))
 def test_a_burst_after_a_calm_time_keeps_the_limit(instances, limit, seed):
     """Guards against permits that all instances save up and spend at one moment."""
     demand = burst(0.6 * limit, 20 * limit, 25.0)
@@ -135,14 +140,14 @@
     assert fleet.most_in_window() <= allowed(limit)
 
 
-@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("seed", range(SEEDS or 5))
 def test_uneven_instances_keep_the_limit(seed):
     """Guards against one busy instance that uses more than its share."""
     fleet = Fleet(20.0, steady(100.0), 4, seed, weights=[8.0, 1.0, 1.0, 1.0]).run()
     assert fleet.most_in_window() <= allowed(20.0)
 
 
-@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("seed", range(SEEDS or 5))
 def test_an_instance_that_loses_its_registration_keeps_its_share(seed):
     """Guards against shares that grow while the departed instance still sends."""
     fleet = Fleet(20.0, steady(100.0), 4, seed, counted=[(20.0, 3), (24.0, 2)])
--- a/packages/gateway/tests/test_store_restorations.py
+++ b/packages/gateway/tests/test_store_restorations.py
@@ -1,6 +1,9 @@
 """A gateway beside a store that is restored from backups; virtual time, fixed seeds.
 
 The operator and the backend servers write again what a restoration has lost.
+By hand, with more seeds:
+
+    RESTORE_SEEDS=1000 pytest packages/gateway/tests/test_store_restorations.py
 """
 
 from __future__ import annotations
@@ -8,6 +11,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import random
 
 import pytest
@@ -26,6 +30,7 @@
 SERVER_LEASE_S = 3.6
 END_S = 60.0
 SERVERS = 5
+SEEDS = int(os.environ.get("RESTORE_SEEDS", "60"))
 
 
 class NullLog:
@@ -261,7 +266,7 @@
         assert owners == [key], "the registration depends on another owner"
 
 
-@pytest.mark.parametrize("seed", range(60))
+@pytest.mark.parametrize("seed", range(SEEDS))
 def test_a_gateway_follows_a_store_that_is_restored(seed):
     """Guards against changes that are lost, or undone, with the history of the store.
 
