--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -27,6 +27,7 @@
 LIMIT_S = 115.0
 HOST = "h.example"
 BEAT_S = 1.2
+START_TIMEOUT_S = 20.0
 BOUNDS = {
     "seedLagS": 3,
     "reuseAfterS": 2,
@@ -522,6 +523,29 @@
             return False
         return reply.status == 200
 
+    async def restart(self) -> None:
+        """Stop the process as planned work does, and start it again."""
+        self.site.record.note(f"SIGTERM: gateway {self.name}")
+        self.process.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(BOUNDS["graceS"]):
+                await self.process.wait()
+        except TimeoutError:
+            await self.end()
+        await self.start()
+        await self.wait_ready()
+
+    async def wait_ready(self) -> None:
+        """Wait until the readiness check answers 200."""
+        try:
+            async with asyncio.timeout(START_TIMEOUT_S):
+                while not await self.ready():
+                    if self.process.returncode is not None:
+                        raise CannotRun(f"{self.name} ended at its start")
+                    await asyncio.sleep(0.1)
+        except TimeoutError as error:
+            raise CannotRun(f"{self.name} did not become ready") from error
+
     async def end(self) -> None:
         """End the process if it still runs."""
         if self.process is not None and self.process.returncode is None:
@@ -617,15 +641,8 @@
         ]
         for gateway in self.gateways:
             await gateway.start()
-        try:
-            async with asyncio.timeout(25):
-                for gateway in self.gateways:
-                    while not await gateway.ready():
-                        if gateway.process.returncode is not None:
-                            raise CannotRun(f"{gateway.name} ended at its start")
-                        await asyncio.sleep(0.1)
-        except TimeoutError as error:
-            raise CannotRun("the gateways did not become ready") from error
+        for gateway in self.gateways:
+            await gateway.wait_ready()
         self.record.note("all gateways are ready")
 
     async def configure(self, *routes: dict) -> float:
