Resume the response parser after it paused for its reader

Callers saw: a response of some 20,000 chunks of one byte, whole and valid, was never delivered; the attempt ended at its deadline.

Cause: aiohttp pauses its parser when more than 4,096 chunks, or 128 KiB, wait for the reader, and resumes it by an empty block. CheckedResponseHandler drops an empty block, so bytes that the parser had kept were never parsed unless more bytes came.

Ruled out: the limits of responses (the response has 120 KB, the limit is 8 MiB) and the reader (5,000 chunks pass, 20,000 in the same packets do not).

--- a/packages/http_client/src/fireflyrack/http_client/handler.py
+++ b/packages/http_client/src/fireflyrack/http_client/handler.py
@@ -55,6 +55,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes up to the end of the response, within the limits."""
+        if not data:
+            # aiohttp resumes its paused parser by an empty block.
+            super().data_received(data)
         while data:
             if self.is_complete():
                 self.force_close()
--- a/packages/http_client/tests/test_responses.py
+++ b/packages/http_client/tests/test_responses.py
@@ -55,7 +55,7 @@
 
 
 @asynccontextmanager
-async def client_of(server):
+async def client_of(server, limits=LIMITS):
     serving = set()
 
     async def serve(reader, writer):
@@ -67,7 +67,7 @@
 
     listener = await asyncio.start_server(serve, "127.0.0.1", 0)
     host, port = listener.sockets[0].getsockname()
-    async with open_session(LIMITS, base_url=f"http://{host}:{port}") as session:
+    async with open_session(limits, base_url=f"http://{host}:{port}") as session:
         yield session
     listener.close()
     await asyncio.gather(*serving, return_exceptions=True)
@@ -190,6 +190,26 @@
         assert await fetch(session) == (200, b"body", True)
 
 
+@pytest.mark.parametrize("read_delay_s", [0.0, 0.1])
+async def test_response_of_many_small_chunks_is_read_to_its_end(read_delay_s):
+    """Guards against a parser that pauses for its reader and is not resumed.
+
+    aiohttp pauses the parser after some thousand chunks; the bytes behind them were
+    kept until the deadline.
+    """
+    chunks = b"1\r\nb\r\n" * 20_000
+    response = HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
+    server = ScriptedServer([response, SIZED])
+    async with client_of(server, ResponseLimits()) as session:
+        timeout = aiohttp.ClientTimeout(total=EARLY_S)
+        async with session.get("/", timeout=timeout) as reply:
+            await asyncio.sleep(read_delay_s)
+            assert await reply.read() == b"b" * 20_000
+            assert reply.is_complete()
+        assert await fetch(session) == (200, b"body", True)
+    assert server.connections == 1
+
+
 async def test_interim_responses_precede_the_response():
     """Guards against taking an interim response for the answer."""
     interim = b"HTTP/1.1 103 Early Hints\r\nX-Id: 2\r\n\r\n"
