End a response at once whose body the parser rejects

Callers saw: a backend server that sent an invalid chunk and kept its connection open held the attempt until the deadline, so no retry could serve the caller.

Cause: aiohttp reports an error of the parser to the reader of heads only. The reader of the body learns of it when the connection is lost, and then only if the parser still knows the body, which it drops at an error.

Change: after an error of the parser, the body gets it as well, as ClientPayloadError. The attempt then ends as interrupted, at once.

--- a/packages/http_client/src/fireflyrack/http_client/handler.py
+++ b/packages/http_client/src/fireflyrack/http_client/handler.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 from typing import Any
 
+from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
 
 from .errors import ResponseTooLarge
@@ -77,10 +78,22 @@
             end = take(self.framing, data, start)
             super().data_received(data[start:end])
             self.received_bytes += end - start
-            if self.fail_if_too_large():
+            if self.fail_if_invalid() or self.fail_if_too_large():
                 return
             start = end
 
+    def fail_if_invalid(self) -> bool:
+        """End the body after an error of the parser; return whether there was one.
+
+        aiohttp ends only the wait for a head; a reader of the body would wait on.
+        """
+        error = self.exception()
+        if error is None:
+            return False
+        if self.payload is not None and not self.payload.is_eof():
+            self.payload.set_exception(ClientPayloadError(f"invalid body: {error}"))
+        return True
+
     def fail_if_too_large(self) -> bool:
         """End a response that exceeds a limit with an error; return whether it did."""
         limits = self.limits
--- a/packages/http_client/tests/test_responses.py
+++ b/packages/http_client/tests/test_responses.py
@@ -221,6 +221,17 @@
         assert await fetch(session) == (200, b"", True)
 
 
+@pytest.mark.parametrize("chunk", [b"no size\r\n", b"4\r\nbody and more\r\n"])
+async def test_invalid_chunk_ends_the_response_at_once(chunk):
+    """Guards against waiting for the deadline on a body that cannot be completed."""
+    server = ScriptedServer([CHUNKS_STARTED + b"4\r\nbody\r\n" + chunk])
+    started_at = time.monotonic()
+    async with client_of(server) as session:
+        with pytest.raises(aiohttp.ClientError):
+            await fetch(session)
+    assert time.monotonic() - started_at < EARLY_S
+
+
 async def test_connection_is_not_used_again_after_trailers():
     """Guards against reuse where the end of the body was not seen exactly."""
     trailers = CHUNKED[:-2] + b"X-Sum: 1\r\n\r\n"
