Try a request on its own while an outage may explain its crashes

Cause: a request counted as crashing servers after three servers and two request ids, also where all its attempts were in flight when the servers went down. Nothing known before (it had completed) or after (none is sent) could clear it.

Ruled out: reports that were counted twice (a crash is one for each server, incarnation and request id), and the missing caller in the fingerprint as the cause: with it, a crashing request sent through other addresses would be free.

Change: crashes of attempts sent within 1 s after the first one may have one cause; the request is then undecided and sent as a trial, one at a time, the instances one after the other. A completion clears it, a crash of a trial, or of an attempt sent after an earlier crash, quarantines it. Reports carry the ages of attempts and completions, so that their order of arrival does not matter. Why this works: only an attempt sent after a crash tells a cause from a victim.

Calls that used quarantined() ask admit(), which says the same of a request not to be sent.

--- a/packages/forwarding/src/fireflyrack/forwarding/__init__.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/__init__.py
@@ -16,11 +16,12 @@
 from .budget import BudgetLimits, RetryBudget
 from .choice import SelectionContext, connection_limit
 from .crashes import (
+    Admitted,
     ClearedReport,
-    Crash,
     CrashReport,
     CrashTracker,
     PeerUpdate,
+    Quarantined,
     apply_report,
 )
 from .fleet import FleetHealth
@@ -39,11 +40,15 @@
 )
 from .runner import ClusterView, RequestRunner
 from .state import ForwardingContext
+from .suspects import Assessment, AttemptTimes, Crash
 
 __all__ = [
+    "Admitted",
     "Answer",
+    "Assessment",
     "Attempt",
     "AttemptOutcome",
+    "AttemptTimes",
     "BackendTransport",
     "BudgetLimits",
     "CallerRequest",
@@ -64,6 +69,7 @@
     "NotConnected",
     "NotRun",
     "PeerUpdate",
+    "Quarantined",
     "Refusal",
     "Refused",
     "Relayed",
--- a/packages/forwarding/src/fireflyrack/forwarding/log_events.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/log_events.py
@@ -97,6 +97,22 @@
     configuration_age_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class RequestTried(LogEvent):
+    """A request is sent that may crash its backend server, to find out."""
+
+    kind: ClassVar[str] = "request_tried"
+    importance: ClassVar[Importance] = Importance.NOTABLE
+    request: str
+    # Same for all attempts of the request.
+    fingerprint: str
+
+
+@severity_of.register
+def _(event: RequestTried) -> Severity:
+    return Severity.WARNING
+
+
 @severity_of.register
 def _(event: RequestRejected) -> Severity:
     return Severity.WARNING
--- a/packages/forwarding/src/fireflyrack/forwarding/observations.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/observations.py
@@ -20,6 +20,7 @@
 from .health import Observation, observe, record_abandoned
 from .log_events import AttemptFinished
 from .state import ProbeServer, RecordNotice, RequestState
+from .suspects import AttemptTimes
 
 
 @singledispatch
@@ -70,7 +71,10 @@
     server = attempt.server
     crashes = state.context.crashes
     servers_to_probe = crashes.record_interrupted(
-        state.request, server.id, server.incarnation, at
+        state.request,
+        server.id,
+        server.incarnation,
+        AttemptTimes(state.sent_at[attempt.id], at),
     )
     known = state.context.servers_of(server.service)
     return tuple(
--- a/packages/forwarding/src/fireflyrack/forwarding/runner.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/runner.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 
 from fireflyrack.availability import NoticeReceived
@@ -14,9 +14,9 @@
 from fireflyrack.telemetry import EventLog, Importance
 
 from .attempts import Attempt, BackendTransport, Interrupted
-from .crashes import QUARANTINE_S
+from .crashes import Quarantined, fingerprint_of
 from .decisions import decide
-from .log_events import RequestFinished, RequestRejected
+from .log_events import RequestFinished, RequestRejected, RequestTried
 from .metrics import ForwardingMetrics
 from .requests import (
     Answer,
@@ -49,8 +49,6 @@
 MAX_CUTOFF_RESERVE_S = 0.02
 # Retry delay for callers while no configuration is known.
 UNCONFIGURED_RETRY_AFTER_S = 0.5
-# Retry delay for quarantined requests; the quarantine may have ended by then.
-QUARANTINED_RETRY_AFTER_S = QUARANTINE_S
 # Connection limit for services that the configuration does not declare.
 DEFAULT_MAX_CONNECTIONS = 8
 
@@ -105,9 +103,13 @@
         route = table.match(request.host, request.path)
         if route is None:
             return self.reject(request, cluster_view, NoRoute())
-        if self.context.crashes.quarantined(request, self.now()):
-            refusal = NotRun(Cause.QUARANTINED, QUARANTINED_RETRY_AFTER_S)
+        admission = self.context.crashes.admit(request, self.now())
+        if isinstance(admission, Quarantined):
+            refusal = NotRun(Cause.QUARANTINED, admission.retry_after_s)
             return self.reject(request, cluster_view, refusal)
+        if admission.trial:
+            self.log.record(RequestTried(request.id, fingerprint_of(request)))
+            route = replace(route, max_attempts=1)
         self.in_flight += 1
         try:
             run = RequestExecution(self, request, route, table)
--- a/packages/gateway/src/fireflyrack/gateway/instance.py
+++ b/packages/gateway/src/fireflyrack/gateway/instance.py
@@ -383,12 +383,12 @@
         """Divide the fleet-wide limits among the known instances."""
         own_key = instance_key(self.settings.id)
         known = sorted({own_key, *self.instance_cache.table.entries})
+        rank = known.index(own_key)
+        self.crashes.rank = rank
         if len(known) != self.fleet.instances:
             self.fleet.set_instance_count(len(known))
             self.availability.feed(
-                availability.InstancesCounted(
-                    self.now(), len(known), known.index(own_key)
-                )
+                availability.InstancesCounted(self.now(), len(known), rank)
             )
             self.metrics.instances.set(len(known))
             event = InstancesChanged(tuple(known), len(known))
--- a/packages/gateway/src/fireflyrack/gateway/log_events.py
+++ b/packages/gateway/src/fireflyrack/gateway/log_events.py
@@ -171,7 +171,9 @@
     server: str
     # Known crashes during this request, including those that peers reported.
     crashes: int
+    # Whether the request is refused, and what the evidence says.
     quarantined: bool
+    assessment: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/fireflyrack/gateway/sharing.py
+++ b/packages/gateway/src/fireflyrack/gateway/sharing.py
@@ -12,6 +12,7 @@
 from fireflyrack.core import StateMachine, steady_now
 from fireflyrack.discovery import EntryInstance, Item, PrefixCache, StoreHealth
 from fireflyrack.forwarding import (
+    Assessment,
     ClearedReport,
     CrashReport,
     CrashTracker,
@@ -186,7 +187,7 @@
             # share their network path; traffic to other domains is billed.
             same_domain = peer.failure_domain == self.settings.failure_domain
             crash_reports, report_count = self.crashes.reports_after(
-                self.acknowledged_reports.get(peer.incarnation, 0)
+                self.acknowledged_reports.get(peer.incarnation, 0), self.now()
             )
             delivery = self.deliveries.get(peer.peer_address)
             update = PeerUpdate(
@@ -208,10 +209,10 @@
     def log_crash_reports(self) -> None:
         """Log the own crash reports since the last call."""
         crash_reports, self.logged_reports = self.crashes.reports_after(
-            self.logged_reports
+            self.logged_reports, self.now()
         )
         for report in crash_reports:
-            self.log.record(crash_report_event(report, self.crashes))
+            self.log.record(crash_report_event(report, self.crashes, self.now()))
 
     def apply_update(self, peer: str, update: PeerUpdate) -> None:
         """Apply the update of a peer to the observations of this instance."""
@@ -231,23 +232,25 @@
 
 
 @singledispatch
-def crash_report_event(report: object, crashes: CrashTracker) -> LogEvent:
+def crash_report_event(report: object, crashes: CrashTracker, at: float) -> LogEvent:
     """Return the log event of an own crash report or cleared report."""
     raise TypeError(f"unsupported report type: {type(report).__name__}")
 
 
 @crash_report_event.register
-def _(report: CrashReport, crashes: CrashTracker) -> LogEvent:
+def _(report: CrashReport, crashes: CrashTracker, at: float) -> LogEvent:
     suspect = crashes.suspects.get(report.fingerprint)
+    assessment = crashes.assess(report.fingerprint, at)
     return RequestSuspected(
         report.crash.request,
         report.fingerprint,
         report.crash.server,
         len(suspect.crashes) if suspect else 0,
-        suspect is not None and suspect.quarantined,
+        assessment is not Assessment.HARMLESS,
+        assessment.value,
     )
 
 
 @crash_report_event.register
-def _(report: ClearedReport, crashes: CrashTracker) -> LogEvent:
+def _(report: ClearedReport, crashes: CrashTracker, at: float) -> LogEvent:
     return RequestCleared(report.fingerprint)
--- a/packages/gateway/tests/test_sharing.py
+++ b/packages/gateway/tests/test_sharing.py
@@ -25,6 +25,7 @@
     StoreHealth,
 )
 from fireflyrack.forwarding import (
+    AttemptTimes,
     BudgetLimits,
     CallerRequest,
     CrashTracker,
@@ -128,7 +129,7 @@
         return list(self.exchange.sent)
 
     def record_crash(self) -> None:
-        self.crashes.record_interrupted(REQUEST, "s-1", 0, 1.0)
+        self.crashes.record_interrupted(REQUEST, "s-1", 0, AttemptTimes(0.9, 1.0))
         self.crashes.record_unavailable("s-1", 0, 1.0)
 
 
@@ -172,7 +173,7 @@
 async def test_crash_reports_of_peers_are_applied(env):
     """Guards against received crash reports that are ignored or not logged."""
     env.record_crash()
-    crash_reports, _ = env.crashes.reports_after(0)
+    crash_reports, _ = env.crashes.reports_after(0, 1.1)
     other = SharingEnvironment()
     other.sharing.apply_update("e1", PeerUpdate((), crash_reports))
     assert other.crashes.suspects
--- a/packages/peers/src/fireflyrack/peers/messages.py
+++ b/packages/peers/src/fireflyrack/peers/messages.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from fireflyrack.availability import SharedStatement
 from fireflyrack.discovery import Item
@@ -48,6 +48,10 @@
     server: str = ""
     incarnation: int = 0
     request: str = ""
+    trial: bool = False
+    # Ages of the start and the end of the attempt, or of the completion, in seconds.
+    sent_ago_s: float = Field(default=0.0, ge=0)
+    ended_ago_s: float = Field(default=0.0, ge=0)
 
 
 class PeerUpdateModel(PeerModel):
@@ -98,22 +102,27 @@
 def report_to_model(report: CrashReport | ClearedReport) -> CrashReportModel:
     """Convert a crash report or cleared report to its wire model."""
     if isinstance(report, ClearedReport):
-        return CrashReportModel(fingerprint=report.fingerprint)
+        return CrashReportModel(
+            fingerprint=report.fingerprint, ended_ago_s=round(report.completed_ago_s, 3)
+        )
     crash = report.crash
     return CrashReportModel(
         fingerprint=report.fingerprint,
         server=crash.server,
         incarnation=crash.incarnation,
         request=crash.request,
+        trial=crash.trial,
+        sent_ago_s=round(report.sent_ago_s, 3),
+        ended_ago_s=round(report.ended_ago_s, 3),
     )
 
 
 def model_to_report(model: CrashReportModel) -> CrashReport | ClearedReport:
     """Convert a wire model to a crash report or cleared report."""
     if not model.server:
-        return ClearedReport(model.fingerprint)
-    crash = Crash(model.server, model.incarnation, model.request)
-    return CrashReport(model.fingerprint, crash)
+        return ClearedReport(model.fingerprint, model.ended_ago_s)
+    crash = Crash(model.server, model.incarnation, model.request, model.trial)
+    return CrashReport(model.fingerprint, crash, model.sent_ago_s, model.ended_ago_s)
 
 
 def decode_update(body: bytes) -> PeerUpdate | InvalidMessage:
