Accept connections without a gap in which a stop drops them

Cause: asyncio gives an accepted connection its transport in a task of its own, one turn of the loop later; the server's assertion that it still listens fails if the listener was closed in that turn. The connection is dropped, and only debug mode says so.

Change: an acceptor of the product's own reads the listeners and knows the task of each connection, so that a stop waits for these tasks and counts no turns. An idle connection is closed only if no bytes wait on it.

--- a/packages/gateway/src/fireflyrack/gateway/log_events.py
+++ b/packages/gateway/src/fireflyrack/gateway/log_events.py
@@ -28,6 +28,15 @@
     in_flight: int
 
 
+@dataclass(frozen=True, slots=True)
+class AcceptFailed(LogEvent):
+    """A connection of a caller could not be accepted, or got no protocol."""
+
+    kind: ClassVar[str] = "accept_failed"
+    importance: ClassVar[Importance] = Importance.NOTABLE
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class SettingsReloaded(LogEvent):
     """The settings file was read again, with an outcome."""
@@ -185,6 +194,11 @@
     fingerprint: str
 
 
+@severity_of.register
+def _(event: AcceptFailed) -> Severity:
+    return Severity.ERROR
+
+
 @severity_of.register
 def _(event: InternalFault) -> Severity:
     return Severity.ERROR
--- a/packages/gateway/src/fireflyrack/gateway/process.py
+++ b/packages/gateway/src/fireflyrack/gateway/process.py
@@ -8,12 +8,14 @@
 from functools import singledispatchmethod
 from typing import Any
 
+from prometheus_client import Counter
+
 from fireflyrack.core import StateMachine
 from fireflyrack.routing import RoutingTable
 
 from . import shutdown
 from .instance import Gateway
-from .log_events import InternalFault, ProcessStarted, ProcessStopping
+from .log_events import AcceptFailed, InternalFault, ProcessStarted, ProcessStopping
 from .serving import HttpServer
 from .shutdown import CloseListeners, Exit, ShutdownState, Withdraw
 
@@ -38,6 +40,13 @@
         self.reload_settings = reload_settings
         self.exited = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
+        self.accept_failures = Counter(
+            "fireflyrack_accept_failures_total",
+            "Connections that could not be accepted.",
+            registry=gateway.registry,
+        )
+        for server in (caller_server, control_server):
+            server.on_accept_failure = self.record_accept_failure
         self.machine = StateMachine(
             ShutdownState(gateway.settings.grace_s), shutdown.decide, self.perform
         )
@@ -71,6 +80,11 @@
         event = InternalFault(description, repr(context.get("exception")))
         self.gateway.log.record(event)
 
+    def record_accept_failure(self, error: Exception) -> None:
+        """Count and log a connection that could not be accepted."""
+        self.accept_failures.inc()
+        self.gateway.log.record(AcceptFailed(repr(error)))
+
     def request_stop(self) -> None:
         """Start the graceful shutdown; repeated calls have no effect."""
         self.machine.feed(shutdown.StopRequested(self.gateway.now()))
--- a/packages/gateway/src/fireflyrack/gateway/serving.py
+++ b/packages/gateway/src/fireflyrack/gateway/serving.py
@@ -4,11 +4,17 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 from collections.abc import Iterator
 from typing import Any
 
 import uvicorn
+from logbook import Logger
+
+from .accepting import AcceptFailed, Acceptor
+
+log = Logger("serving")
 
 LISTEN_BACKLOG = 2048
 GRACEFUL_TIMEOUT_S = 30.0
@@ -24,9 +30,15 @@
 class EmbeddedServer(uvicorn.Server):
     """Uvicorn server without signal handlers; the process decides when to stop."""
 
-    def __init__(self, config: uvicorn.Config, first_request_timeout_s: float) -> None:
+    def __init__(
+        self,
+        config: uvicorn.Config,
+        first_request_timeout_s: float,
+        on_accept_failure: AcceptFailed,
+    ) -> None:
         super().__init__(config)
         self.first_request_timeout_s = first_request_timeout_s
+        self.on_accept_failure = on_accept_failure
         self.exit_requested = asyncio.Event()
 
     async def main_loop(self) -> None:
@@ -52,24 +64,27 @@
         """Replace the context manager of uvicorn that installs signal handlers."""
         yield
 
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Accept the connections of listening sockets."""
+        await self.lifespan.startup()
+        self.acceptor = Acceptor(
+            sockets or (), self.create_protocol, self.on_accept_failure
+        )
+        self.acceptor.start()
+        self.servers = [self.acceptor]
+        self.started = True
+
     async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
-        """Stop accepting, read the requests of accepted connections, then finish.
+        """Stop accepting, read the requests that were sent, then finish.
 
         uvicorn closes a connection without a request at once; one that was accepted
         just before would be cut off with its request unread.
         """
-        # Closing a listener resets the connections that wait to be accepted.
-        accepted = [c for listener in sockets or () for c in accept_waiting(listener)]
-        for server in self.servers:
-            server.close()
-        loop = asyncio.get_running_loop()
-        for connection in accepted:
-            await loop.connect_accepted_socket(self.create_protocol, connection)
+        self.acceptor.close()
+        await self.acceptor.wait_opened()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self.first_request_timeout_s):
-                # The loop gives an accepted connection its protocol later.
-                await asyncio.sleep(FIRST_REQUEST_POLL_INTERVAL_S)
-                while self.has_unused_connection():
+                while self.close_quiet_connections():
                     await asyncio.sleep(FIRST_REQUEST_POLL_INTERVAL_S)
         await super().shutdown(sockets)
 
@@ -81,21 +96,31 @@
             app_state=self.lifespan.state,
         )
 
-    def has_unused_connection(self) -> bool:
-        """Return whether the first request of a connection has not been read."""
-        return any(c.cycle is None for c in self.server_state.connections)
+    def close_quiet_connections(self) -> bool:
+        """Close connections without a request to read; return whether others remain.
+
+        Those with a request in flight close after its response. Those without a first
+        request were accepted just before.
+        """
+        remain = False
+        for connection in tuple(self.server_state.connections):
+            if connection.cycle is None or is_readable(connection.transport):
+                remain = True
+            else:
+                connection.shutdown()
+        return remain
+
+
+def is_readable(transport: asyncio.Transport) -> bool:
+    """Return whether bytes wait in the kernel to be read."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket"), select.POLLIN)
+    return bool(poll.poll(0))
 
 
-def accept_waiting(listener: socket.socket) -> list[socket.socket]:
-    """Accept and return the connections that wait at a non-blocking listener."""
-    accepted = []
-    # BlockingIOError once none waits; any other error must not stop the shutdown.
-    with contextlib.suppress(OSError):
-        while True:
-            connection, _ = listener.accept()
-            connection.setblocking(False)
-            accepted.append(connection)
-    return accepted
+def log_accept_failure(error: Exception) -> None:
+    """Log that a connection could not be accepted."""
+    log.error("a connection could not be accepted: {!r}", error)
 
 
 class HttpServer:
@@ -111,6 +136,8 @@
         drain_s: float = GRACEFUL_TIMEOUT_S,
         first_request_timeout_s: float = FIRST_REQUEST_TIMEOUT_S,
     ) -> None:
+        # Replaced by the process that serves, to log and count.
+        self.on_accept_failure: AcceptFailed = log_accept_failure
         self.addresses = addresses
         config = uvicorn.Config(
             app,
@@ -120,7 +147,11 @@
             server_header=False,
             timeout_graceful_shutdown=drain_s,
         )
-        self.server = EmbeddedServer(config, first_request_timeout_s)
+        self.server = EmbeddedServer(
+            config,
+            first_request_timeout_s,
+            lambda error: self.on_accept_failure(error),
+        )
         self.sockets: list[socket.socket] = []
         self.task: asyncio.Task[None] | None = None
 
@@ -153,7 +184,7 @@
         self.server.config.timeout_keep_alive = timeout_s
 
     async def __aenter__(self) -> HttpServer:
-        self.task = asyncio.create_task(self.server.serve(self.sockets or None))
+        self.task = asyncio.create_task(self.server.serve(self.sockets))
         while not self.server.started:
             await asyncio.sleep(STARTUP_POLL_INTERVAL_S)
         return self
