--- a/tests/platform/test_server_statements.py
+++ b/tests/platform/test_server_statements.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import pytest
 import stand_in_server as behaviours
 
 from fireflyrack.core import steady_now
@@ -147,3 +148,26 @@
     assert set(await load([gateway], 40, 0.01)) == {200}
     events = [e for e in gateway.log() if e["event"] == "server_statement_ignored"]
     assert names.SERVER_LOAD in events[0]["statement"]
+
+
+@pytest.mark.parametrize(
+    "value", [b"caf\xc3\xa9", b"\xff\xfe", b"\xe2\x82\xac 5", b"a\x01b"]
+)
+async def test_answer_with_an_unusual_header_value_is_passed_on(cluster, value):
+    """Guards against a 500 in place of a whole answer with its signature."""
+
+    async def answer_with_value(server, request):
+        whole = await behaviours.answer(server, request)
+        line = b"X-Note: " + value + b"\r\n"
+        return behaviours.Reply(whole.data.replace(b"\r\n", b"\r\n" + line, 1))
+
+    await cluster.add_server("i-1", "s", behaviour=answer_with_value, body=b"whole")
+    await cluster.configure(ROUTE)
+    gateway = await cluster.start()
+    async with gateway.get("/a/x") as response:
+        assert response.status == 200
+        assert await response.read() == b"whole"
+        raw = dict(response.raw_headers)
+    passed_on = raw.get(b"x-note")
+    # A control character cannot be passed on, so the header is left out.
+    assert passed_on == (None if b"\x01" in value else value)
