Keep a long closed time of a backend server up to the bound

A backend server that refused with a Retry-After above 300 s (max_closure_s) went on getting requests, as if it had not asked for a pause.

Cause: a time over the bound was taken for malformed. A wish that is longer than the bound is now kept up to the bound; values that are no number are still logged and ignored.

The test that asked for the old rule (a long time is ignored) is replaced by one that asks for the new one: closed until the bound, open after it. It fails before.

--- a/packages/availability/src/fireflyrack/availability/decisions.py
+++ b/packages/availability/src/fireflyrack/availability/decisions.py
@@ -142,8 +142,7 @@
             return []
         stated.closure = None
         return [ServerReopened(server.id, server.service, at - closure.since)]
-    if closed_for_s > table.max_closure_s:
-        return [StatementIgnored(server.id, f"closed for {closed_for_s:g} s")]
+    closed_for_s = min(closed_for_s, table.max_closure_s)
     known_until = -math.inf if closure is None else closure.until
     if closure is None:
         closure = stated.closure = close(closed_for_s, at, table.rng)
--- a/packages/availability/tests/test_servers.py
+++ b/packages/availability/tests/test_servers.py
@@ -218,12 +218,13 @@
     assert 4.0 <= min(times) < 4.3 and 4.7 < max(times) <= 5.0
 
 
-def test_an_absurd_closed_time_is_logged_and_ignored():
-    """Guards against one malformed value that takes a server out for ever."""
+def test_a_long_closed_time_is_kept_up_to_the_bound():
+    """Guards against a wish that is ignored, or takes a server out for ever."""
     table = make_table()
-    (ignored,) = receive(table, Notice(closed_for_s=1e9))
-    assert isinstance(ignored, StatementIgnored)
-    assert table.obstacle(SERVER, 1.0) is None
+    (closed,) = receive(table, Notice(closed_for_s=1e9), 0.0)
+    assert closed.closed_for_s == table.max_closure_s
+    assert table.obstacle(SERVER, table.max_closure_s - 0.1) is Obstacle.CLOSED
+    assert table.obstacle(SERVER, closed.reopens_in_s + 0.1) is None
 
 
 def test_the_end_of_a_limit_that_a_peer_saw_frees_the_server():
