Stop the watch of the store also in the moment of its reply

A stop that came between the reply of a watch and the return of its call raised AttributeError in place of the cancellation; the task that follows the store was then restarted instead of ended, and the process would end by SIGKILL.

Cause: the reply clears the reference to the running watch, which the handler of the cancellation reads. It now keeps its own reference.

The new test sets up that order of events; it fails before with AttributeError and passes after.

--- a/packages/discovery/src/fireflyrack/discovery/watcher.py
+++ b/packages/discovery/src/fireflyrack/discovery/watcher.py
@@ -178,13 +178,13 @@
 
     async def watch_once(self) -> bool:
         """Run one watch; return whether the store answered."""
-        self.watch = asyncio.create_task(self.wait_for_changes())
+        watch = self.watch = asyncio.create_task(self.wait_for_changes())
         try:
-            return await self.watch
+            return await watch
         except asyncio.CancelledError:
-            if self.watch.cancelled() and not asyncio.current_task().cancelling():
+            if watch.cancelled() and not asyncio.current_task().cancelling():
                 return False
-            self.watch.cancel()
+            watch.cancel()
             raise
         finally:
             self.watch = None
--- a/packages/discovery/tests/test_watcher.py
+++ b/packages/discovery/tests/test_watcher.py
@@ -106,6 +106,27 @@
     assert store.list_calls == [("", False)]
 
 
+async def test_stop_in_the_moment_of_a_reply_cancels_the_watch_loop():
+    """Guards against a process that cannot stop since its watch loop has failed.
+
+    The loop is cancelled when the reply was handled and the watch has not returned.
+    """
+    log, store = NullLog(), ScriptedStore()
+    health = StoreHealth(log, steady_now)
+    cache = PrefixCache("a/", lambda item: item.value, log, health, steady_now)
+    watcher = StoreWatcher(
+        (cache,), store, log, health, PROPAGATION_BOUND_S, lambda: 1, steady_now
+    )
+    task = asyncio.create_task(watcher.run_watch_loop())
+    loop = asyncio.get_running_loop()
+    store.on_next_watch = lambda: loop.call_soon(task.cancel)
+    store.watch_outcomes.append(Ok(Changes((), 12)))
+    with pytest.raises(asyncio.CancelledError):
+        async with asyncio.timeout(5):
+            await task
+    assert cache.revision == 12
+
+
 async def test_stale_listing_is_used_only_before_first_current_listing(watched_store):
     """Guards against starting empty, and against stale entries replacing newer ones."""
     store, (a, b), health = watched_store
