--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -64,6 +64,15 @@
     assert field in decoded.reason or "JSON" in decoded.reason
 
 
+@pytest.mark.parametrize("field", sorted(set(ENTRY) - {"born"}))
+def test_an_entry_without_a_field_names_no_server(field):
+    """Guards against an entry of another writer that moves a server to its service."""
+    entry = {name: value for name, value in ENTRY.items() if name != field}
+    decoded = decode_server(Item("servers/i-1", json.dumps(entry).encode(), 1))
+    assert isinstance(decoded, UnreadableEntry)
+    assert decoded.reason.startswith(f"{field}: ")
+
+
 @pytest.mark.parametrize("id", ["", "a b", "a\r\nX: y", "é", "x" * 300])
 def test_an_entry_with_an_odd_id_names_no_server(id):
     """Guards against ids that cannot be sent in a header."""
