Quarantine a suspect for the crash of a run sent as a suspect only

Cause: crashes of runs that had nothing beside them counted, whether or not the request was a suspect when they were sent. One outage gives several such crashes.

Change: a crash proves something only if the request was a suspect when the run was sent.

test_an_outage_of_several_servers_does_not_quarantine fails before for 2 and 4 servers and passes after.

--- a/packages/requests/src/fireflyrack/requests/messages.py
+++ b/packages/requests/src/fireflyrack/requests/messages.py
@@ -182,6 +182,7 @@
     backend_server: str
     alone: bool
     occurrence: int = 1
+    tried: bool = False
 
 
 class EvidenceModel(PeerModel):
@@ -196,7 +197,7 @@
     def to_domain(self) -> Evidence:
         """Convert to the domain data class."""
         crashes = frozenset(
-            Crash(c.round, c.backend_server, c.alone, c.occurrence)
+            Crash(c.round, c.backend_server, c.alone, c.occurrence, c.tried)
             for c in self.crashes
         )
         return Evidence(self.service, crashes, self.cleared, self.lifted)
@@ -289,6 +290,7 @@
                 backend_server=c.backend_server,
                 alone=c.alone,
                 occurrence=c.occurrence,
+                tried=c.tried,
             )
             for c in crashes[:MAX_CRASHES]
         ),
--- a/packages/requests/src/fireflyrack/requests/quarantine.py
+++ b/packages/requests/src/fireflyrack/requests/quarantine.py
@@ -31,6 +31,8 @@
     alone: bool
     # Numbers the crashes of one backend server and round with `alone` set, up to 2.
     occurrence: int = 1
+    # The request was a suspect when it was sent, so that the crash tells about it.
+    tried: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,10 +56,12 @@
     def is_quarantined(self) -> bool:
         """Return whether a suspect crashed a backend server while it ran alone.
 
-        A single crash only makes a suspect, since it may be a power failure.
+        Crashes of requests that were no suspects yet, however many, only make one: a
+        power failure may have caused all of them.
         """
         active_crashes = self.active_crashes()
-        return len(active_crashes) > 1 and any(crash.alone for crash in active_crashes)
+        proven = any(crash.alone and crash.tried for crash in active_crashes)
+        return len(active_crashes) > 1 and proven
 
     def is_cleared(self) -> bool:
         """Return whether a completed run alone showed the request to be harmless."""
@@ -117,6 +121,8 @@
     # Running requests per fingerprint, by backend server that this instance owns.
     running: dict[str, Counter[str]] = field(default_factory=dict)
     services: dict[str, str] = field(default_factory=dict)
+    # Fingerprints that were suspects when they were sent, by backend server.
+    tried: dict[str, set[str]] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,6 +197,8 @@
 @decide.register
 def _(event: RequestStarted, state: QuarantineState) -> Decision[QuarantineState]:
     state.services[event.fingerprint] = event.service
+    if isinstance(check(state, event.fingerprint), Isolated):
+        state.tried.setdefault(event.backend_server, set()).add(event.fingerprint)
     state.running.setdefault(event.backend_server, Counter())[event.fingerprint] += 1
     return Decision(state)
 
@@ -215,6 +223,7 @@
 def _(event: ServerCrashed, state: QuarantineState) -> Decision[QuarantineState]:
     running = event.running
     started = state.running.pop(event.backend_server, Counter())
+    tried = state.tried.pop(event.backend_server, set())
     if running is None:
         running = {name: state.services.get(name, "") for name in started}
     actions: list[PublishEvidence] = []
@@ -226,7 +235,7 @@
             # A cleared fingerprint stays cleared. Otherwise a caller could keep a
             # harmless request suspected by sending crashing ones at the same time.
             continue
-        crash = next_crash(known, event.backend_server, alone)
+        crash = next_crash(known, event.backend_server, alone, fingerprint in tried)
         change = Evidence(service, frozenset((crash,)))
         actions.extend(record_evidence(state, fingerprint, event.at, change).actions)
     for fingerprint in started:
@@ -321,7 +330,7 @@
     return ""
 
 
-def next_crash(known: Evidence, backend_server: str, alone: bool) -> Crash:
+def next_crash(known: Evidence, backend_server: str, alone: bool, tried: bool) -> Crash:
     """Return the next crash of a backend server in the current round."""
     number = known.last_voided_round() + 1
     earlier = sum(
@@ -330,7 +339,7 @@
         if crash.round == number and crash.backend_server == backend_server
     )
     occurrence = min(earlier + 1, MAX_CRASHED_SERVERS) if alone else 1
-    return Crash(number, backend_server, alone, occurrence)
+    return Crash(number, backend_server, alone, occurrence, tried)
 
 
 def record_evidence(
@@ -377,8 +386,10 @@
     running[fingerprint] -= 1
     if running[fingerprint] <= 0:
         del running[fingerprint]
+        state.tried.get(backend_server, set()).discard(fingerprint)
     if not running:
         del state.running[backend_server]
+        state.tried.pop(backend_server, None)
     remove_unused_service(state, fingerprint)
 
 
--- a/packages/requests/tests/test_quarantine.py
+++ b/packages/requests/tests/test_quarantine.py
@@ -62,6 +62,32 @@
     assert isinstance(check(state, "f"), Isolated)
 
 
+@pytest.mark.parametrize("servers", [2, 4])
+def test_an_outage_of_several_servers_does_not_quarantine(servers):
+    # Guards against refusing a request that was in flight, and alone, on each server
+    # when all lost their power.
+    state = new_state()
+    for name in SERVERS[:servers]:
+        feed(state, RequestStarted(0.0, name, "desk", "f"))
+    for name in SERVERS[:servers]:
+        feed(state, ServerCrashed(1.0, name))
+    assert isinstance(check(state, "f"), Isolated)
+    feed(state, RequestStarted(2.0, "b0", "desk", "f"))
+    feed(state, RequestEnded(2.1, "b0", "f", completed_alone=True))
+    assert check(state, "f") == Allowed()
+
+
+def test_a_suspect_that_crashes_a_server_alone_is_quarantined_after_an_outage():
+    # Guards against a crashing request that is taken for the victim of an outage.
+    state = new_state()
+    for name in SERVERS[:2]:
+        feed(state, RequestStarted(0.0, name, "desk", "f"))
+    for name in SERVERS[:2]:
+        feed(state, ServerCrashed(1.0, name))
+    crash(state, "b0", "f", at=2.0)
+    assert check(state, "f") == Quarantined()
+
+
 def test_crashes_with_concurrent_requests_never_quarantine():
     # Guards against a caller that gets the searches of others refused by sending
     # crashing requests at the same time.
