--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -16,7 +16,14 @@
 REPLICAS = 2
 # Longest fault, in seconds; short enough that several in a row stay within the bounds.
 MAX_FAULT_S = 2.5
-MISBEHAVIOURS = ("doubled", "cut head", "endless", "closing", "limited")
+MISBEHAVIOURS = (
+    "doubled",
+    "cut head",
+    "endless",
+    "closing",
+    "limited",
+    "blank lines",
+)
 SERVER_FAULTS = (
     Fault.RESET,
     Fault.REFUSE,
--- a/tests/soak/soak_cluster.py
+++ b/tests/soak/soak_cluster.py
@@ -415,4 +415,6 @@
         return Reply(whole[: head_end // 2], close=True)
     if kind == "endless":
         return Reply(whole[:head_end], endless=b"X-More: y\r\n" * 100)
+    if kind == "blank lines":
+        return Reply(b"HTTP/1.1 200 OK\r\n\r\n", endless=b"\r\n" * 32768)
     return Reply(whole)
