Name the assessments of a request by what the evidence shows

"guilty" and "harmless" are figurative, and the first stands in the log. The assessments are now "no evidence", "undecided" and "crashes servers". Names and texts only; the tests of forwarding and gateway pass.

--- a/packages/forwarding/src/fireflyrack/forwarding/crashes.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/crashes.py
@@ -126,12 +126,12 @@
         fingerprint = fingerprint_of(request)
         suspect = self.suspects.get(fingerprint)
         assessment = self.assess(fingerprint, at)
-        if assessment is Assessment.HARMLESS:
+        if assessment is Assessment.NO_EVIDENCE:
             return Admitted()
         end_at = suspect.last_crash_at + QUARANTINE_S
         if at >= end_at:
             return Admitted()
-        if assessment is Assessment.GUILTY:
+        if assessment is Assessment.CRASHING:
             return Quarantined(end_at - at)
         trial_at = max(self.first_trial_at(fingerprint, at), suspect.next_trial_at)
         if at < trial_at:
@@ -144,7 +144,7 @@
         """Return what the known crashes say about the requests of a fingerprint."""
         suspect = self.suspects.get(fingerprint)
         if suspect is None:
-            return Assessment.HARMLESS
+            return Assessment.NO_EVIDENCE
         crashes = suspect.crashes_after(self.completed_at(fingerprint))
         return assess(crashes, self.completed_recently(fingerprint, at))
 
--- a/packages/forwarding/src/fireflyrack/forwarding/suspects.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/suspects.py
@@ -1,9 +1,9 @@
 """Evidence that a request crashes the backend servers that run it.
 
-A request that was in flight when backend servers went down is either the cause or a
-victim. It is a victim if it completes elsewhere. If not, what counts is whether it was
-sent again after a crash and crashed further servers: attempts that were in flight
-together may all have ended by one outage.
+A request that was in flight when backend servers went down is the cause, or one that
+the outage interrupted. It is not the cause if it completes elsewhere. If it does not,
+what counts is whether it was sent again after a crash and crashed further servers:
+attempts that were in flight together may all have ended by one outage.
 """
 
 from __future__ import annotations
@@ -46,12 +46,12 @@
 class Assessment(enum.Enum):
     """What the evidence on a request says."""
 
-    # Too little evidence.
-    HARMLESS = "harmless"
+    # Too little to refuse the request.
+    NO_EVIDENCE = "no evidence"
     # The request or an outage crashed the servers; a trial can tell.
     UNDECIDED = "undecided"
     # The request crashed the servers.
-    GUILTY = "guilty"
+    CRASHING = "crashes servers"
 
 
 @dataclass(slots=True)
@@ -85,13 +85,13 @@
     servers = {(crash.server, crash.incarnation) for crash in crashes}
     requests = {crash.request for crash in crashes}
     if len(servers) < MIN_CRASHED_SERVERS or len(requests) < MIN_CALLER_ATTEMPTS:
-        return Assessment.HARMLESS
+        return Assessment.NO_EVIDENCE
     if any(crash.trial for crash in crashes):
-        return Assessment.GUILTY
+        return Assessment.CRASHING
     # A request that completed a while ago has most likely not become a crashing one.
     if completed_recently or not spans_outages(crashes):
         return Assessment.UNDECIDED
-    return Assessment.GUILTY
+    return Assessment.CRASHING
 
 
 def spans_outages(crashes: Mapping[Crash, AttemptTimes]) -> bool:
--- a/packages/forwarding/tests/test_outages.py
+++ b/packages/forwarding/tests/test_outages.py
@@ -196,7 +196,7 @@
     fleet.play(back_at + RECOVERY_S, popular_per_s=50)
     fleet.play(fleet.now + 3.0, popular_per_s=50)
     assert served_in(fleet, back_at + RECOVERY_S, fleet.now)
-    assert fleet.assessments(POPULAR) == {Assessment.HARMLESS}
+    assert fleet.assessments(POPULAR) == {Assessment.NO_EVIDENCE}
 
 
 @pytest.mark.parametrize("seed", range(SEEDS))
@@ -214,9 +214,9 @@
     crashing_at = [2.0 + number * period_s for number in range(int(13 / period_s))]
     fleet.play(15.0, popular_per_s=50, crashing_at=crashing_at)
     fleet.play(19.0, popular_per_s=50)
-    assert Assessment.GUILTY not in fleet.assessments(POPULAR)
+    assert Assessment.CRASHING not in fleet.assessments(POPULAR)
     assert served_in(fleet, 16.0, 19.0)
-    assert fleet.assessments(CRASHING) == {Assessment.GUILTY}
+    assert fleet.assessments(CRASHING) == {Assessment.CRASHING}
     third = fleet.crashes[MIN_CRASHED_SERVERS - 1]
     later = [at for at in fleet.crashes if at > third + 4.0]
     assert len(later) <= 3
@@ -249,11 +249,11 @@
     reports, _ = reporter.reports_after(0, 5.0)
     for report in reports:
         apply_report(report, late, 5.0)
-    assert late.assess(fingerprint_of(request), 5.0) is Assessment.HARMLESS
+    assert late.assess(fingerprint_of(request), 5.0) is Assessment.NO_EVIDENCE
     late.record_completed(request, 5.1)
     (cleared,), _ = late.reports_after(0, 5.2)
     apply_report(cleared, reporter, 5.2)
-    assert reporter.assess(fingerprint_of(request), 5.2) is Assessment.HARMLESS
+    assert reporter.assess(fingerprint_of(request), 5.2) is Assessment.NO_EVIDENCE
 
 
 def test_crash_of_a_trial_quarantines_the_request_on_all_instances():
@@ -266,5 +266,5 @@
     before = len(fleet.crashes)
     assert fleet.assessments(CRASHING) == {Assessment.UNDECIDED}
     fleet.play(20.0, 0, crashing_at=[0.2 + 0.1 * n for n in range(190)])
-    assert fleet.assessments(CRASHING) == {Assessment.GUILTY}
+    assert fleet.assessments(CRASHING) == {Assessment.CRASHING}
     assert len(fleet.crashes) == before + 1
--- a/packages/gateway/src/fireflyrack/gateway/sharing.py
+++ b/packages/gateway/src/fireflyrack/gateway/sharing.py
@@ -246,7 +246,7 @@
         report.fingerprint,
         report.crash.server,
         len(suspect.crashes) if suspect else 0,
-        assessment is not Assessment.HARMLESS,
+        assessment is not Assessment.NO_EVIDENCE,
         assessment.value,
     )
 
