--- a/packages/requests/tests/test_quarantine.py
+++ b/packages/requests/tests/test_quarantine.py
@@ -78,7 +78,7 @@
 
 
 def test_a_suspect_that_crashes_a_server_alone_is_quarantined_after_an_outage():
-    # Guards against a crashing request that is taken for one that an outage interrupted.
+    # Guards against a crashing request that passes for an interrupted one.
     state = new_state()
     for name in SERVERS[:2]:
         feed(state, RequestStarted(0.0, name, "desk", "f"))
