--- /dev/null
+++ b/tests/platform/test_response_heads.py
@@ -0,0 +1,145 @@
+"""Heads of responses with spoiled bytes: a caller gets a whole answer or a failure."""
+
+from __future__ import annotations
+
+import re
+
+import pytest
+import stand_in_server as behaviours
+from scripted_server import Script, run_attempts
+
+from fireflyrack.forwarding import AttemptOutcome, Completed, Interrupted
+from fireflyrack.platform import names
+
+SAFE = {"prefix": "/safe/", "service": "s"}
+ONCE = {"prefix": "/once/", "service": "s", "kind": "unsafe"}
+BODY = b"the whole body"
+SIGNATURE = b"3e1b.07.5a2"
+VISIBLE = re.compile(r"[!-~]+")
+BITS = tuple(1 << number for number in range(8))
+
+
+def response(*headers: bytes, line: bytes = b"HTTP/1.1 200 OK") -> bytes:
+    """Return a response to the request `own` with further headers."""
+    head = (
+        line,
+        names.REQUEST_ID.encode() + b": own",
+        b"Content-Length: %d" % len(BODY),
+        *headers,
+    )
+    return b"\r\n".join(head) + b"\r\n\r\n" + BODY
+
+
+def signed(signature: bytes = SIGNATURE) -> bytes:
+    return names.SIGNATURE.encode() + b": " + signature
+
+
+async def outcome_of(data: bytes) -> AttemptOutcome:
+    """Return the outcome of an attempt whose server sends the given bytes."""
+    (outcome,) = await run_attempts(Script((data,), 1.0, False, 0), count=1)
+    return outcome
+
+
+def spoil(data: bytes, place: int, bit: int) -> bytes:
+    spoiled = bytearray(data)
+    spoiled[place] ^= bit
+    return bytes(spoiled)
+
+
+SPOILED_SIGNATURES = {
+    "control character": signed(b"3e1\x01b"),
+    "delete": signed(b"3e1\x7fb"),
+    "not ASCII": signed(b"3e1\xe2b"),
+    "space": signed(b"3e 1b"),
+    "separator of a list": signed(b"3e,1b"),
+    "empty": signed(b""),
+    "two": signed() + b"\r\n" + signed(b"77c0"),
+}
+
+
+@pytest.mark.parametrize(
+    "header", SPOILED_SIGNATURES.values(), ids=SPOILED_SIGNATURES.keys()
+)
+@pytest.mark.parametrize("line", [b"HTTP/1.1 200 OK", b"HTTP/1.1 500 Fault"])
+async def test_response_with_a_spoiled_signature_is_no_answer(header, line):
+    """Guards against a status that is relayed without its signature, or with another.
+
+    It would also be listed among the signatures of a search.
+    """
+    assert isinstance(await outcome_of(response(header, line=line)), Interrupted)
+
+
+async def test_whole_response_is_an_answer():
+    """Guards against a check of heads that rejects sound ones."""
+    outcome = await outcome_of(response(signed()))
+    assert isinstance(outcome, Completed)
+    assert (outcome.signature, outcome.body) == (SIGNATURE.decode(), BODY)
+
+
+async def test_no_bit_error_in_a_head_separates_a_success_from_its_signature():
+    """Guards against a head that is counted as received and relayed otherwise.
+
+    Each bit of the head is inverted alone. What stays a success has one visible
+    signature, which is both counted and relayed.
+    """
+    sound = response(signed(), b"Content-Type: text/plain", b"Connection: keep-alive")
+    head_bytes = len(sound) - len(BODY)
+    successes = 0
+    for place in range(head_bytes):
+        for bit in BITS:
+            outcome = await outcome_of(spoil(sound, place, bit))
+            if not isinstance(outcome, Completed) or not outcome.succeeded:
+                continue
+            successes += 1
+            relayed = [
+                value
+                for name, value in outcome.headers
+                if name.lower() == names.SIGNATURE.lower()
+            ]
+            assert relayed == [outcome.signature]
+            assert VISIBLE.fullmatch(outcome.signature)
+    assert successes > 0
+
+
+async def spoil_signature(server, request) -> behaviours.Reply:
+    """Answer with a control character in the signature."""
+    whole = await behaviours.answer(server, request)
+    return behaviours.Reply(whole.data.replace(b": sig.", b": s\x13g."))
+
+
+class FirstSpoiled:
+    """Behaviour of several servers that spoil the first response to each request."""
+
+    def __init__(self) -> None:
+        self.spoiled: set[str] = set()
+
+    async def __call__(self, server, request) -> behaviours.Reply:
+        request_id = request.headers[names.REQUEST_ID.lower()]
+        if request_id in self.spoiled:
+            return await behaviours.answer(server, request)
+        self.spoiled.add(request_id)
+        return await spoil_signature(server, request)
+
+
+async def test_request_that_may_run_once_is_unknown_after_a_spoiled_signature(cluster):
+    """Guards against a success without its signature, and against a second run."""
+    server = await cluster.add_server("i-1", "s", behaviour=spoil_signature)
+    await cluster.configure(ONCE)
+    gateway = await cluster.start()
+    async with gateway.get("/once/x", method="POST", data=b"order") as answer:
+        assert answer.status == 502
+        assert names.SIGNATURE not in answer.headers
+    assert len(server.requests) == 1
+
+
+async def test_request_is_repeated_elsewhere_after_a_spoiled_signature(cluster):
+    """Guards against a failure that another server would have prevented."""
+    spoiling = FirstSpoiled()
+    for name in ("i-1", "i-2"):
+        await cluster.add_server(name, "s", behaviour=spoiling)
+    await cluster.configure(SAFE)
+    gateway = await cluster.start()
+    async with gateway.get("/safe/x") as answer:
+        assert answer.status == 200
+        assert answer.headers[names.SIGNATURE] in ("sig.i-1", "sig.i-2")
+    assert spoiling.spoiled == {"rid"}
