--- a/packages/forwarding/src/fireflyrack/forwarding/metrics.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/metrics.py
@@ -54,6 +54,11 @@
             ("outcome",),
             registry=registry,
         )
+        self.unsendable = Counter(
+            "fireflyrack_unsendable_answers_total",
+            "Answers without a valid response, which became failures.",
+            registry=registry,
+        )
         self.configuration_version = Gauge(
             "fireflyrack_routing_version",
             "Version of the routing table in force.",
--- a/packages/gateway/src/fireflyrack/gateway/instance.py
+++ b/packages/gateway/src/fireflyrack/gateway/instance.py
@@ -58,6 +58,7 @@
     instance_key,
 )
 from .log_events import (
+    AnswerUnsendable,
     InstancesChanged,
     InternalFault,
     OverloadObserved,
@@ -416,6 +417,11 @@
             self.log.record(InternalFault(f"request {request.id}", repr(error)))
             return Unknown(Cause.INTERNAL)
 
+    def record_unsendable(self, request: CallerRequest, reason: str) -> None:
+        """Count and log an answer that had no valid response."""
+        self.metrics.unsendable.inc()
+        self.log.record(AnswerUnsendable(request.id, reason))
+
     def publish_overload(self, change: overload.OverloadChanged) -> None:
         """Log the change and update the registration that directories read."""
         self.log.record(OverloadObserved(change.overloaded, change.lag_s))
--- a/packages/gateway/src/fireflyrack/gateway/log_events.py
+++ b/packages/gateway/src/fireflyrack/gateway/log_events.py
@@ -37,6 +37,16 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerUnsendable(LogEvent):
+    """An answer had no valid response; its caller got a failure instead."""
+
+    kind: ClassVar[str] = "answer_unsendable"
+    importance: ClassVar[Importance] = Importance.NOTABLE
+    request: str
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class SettingsReloaded(LogEvent):
     """The settings file was read again, with an outcome."""
@@ -199,6 +209,11 @@
     return Severity.ERROR
 
 
+@severity_of.register
+def _(event: AnswerUnsendable) -> Severity:
+    return Severity.ERROR
+
+
 @severity_of.register
 def _(event: InternalFault) -> Severity:
     return Severity.ERROR
