Believe no response whose status ends no request

Callers saw: a request that may run once was refused as 'not run' (503) after a response with status 000, 099, 600 or 999 that held the statement 'not run', and was sent to a second backend server. A bare status 000 reached no caller.

Cause: decode_response read the statement first and the status only to exclude a switch of protocols; the parser accepts any three digits. Ruled out: a rule for retries of its own, since with the fix one attempt is made.

--- a/tests/platform/test_response_heads.py
+++ b/tests/platform/test_response_heads.py
@@ -101,6 +101,45 @@
     assert successes > 0
 
 
+INVALID_STATUS_LINES = [
+    *(b"HTTP/1.1 %03d Status" % status for status in (0, 7, 99, 101, 600, 999)),
+    b"HTTP/0.9 200 OK",
+    b"HTTP/2.0 200 OK",
+]
+
+
+@pytest.mark.parametrize("line", INVALID_STATUS_LINES)
+@pytest.mark.parametrize("statement", [(), (names.NOT_RUN.encode() + b": 1",)])
+async def test_status_line_that_ends_no_request_is_no_answer(line, statement):
+    """Guards against a status without a meaning that is relayed or believed.
+
+    A response that is none cannot state that its request did not run.
+    """
+    outcome = await outcome_of(response(signed(), *statement, line=line))
+    assert isinstance(outcome, Interrupted)
+
+
+@pytest.mark.parametrize("status", ["000 Zero", "099 Low", "600 High", "999 Highest"])
+async def test_refusal_with_a_status_that_ends_no_request_is_not_believed(
+    cluster, status
+):
+    """Guards against a request that may run once and runs again, or is refused."""
+
+    async def refuse(server, request) -> behaviours.Reply:
+        refusal = {names.NOT_RUN: "1"}
+        return behaviours.Reply(
+            behaviours.encode_response(request, b"", status, refusal)
+        )
+
+    servers = [
+        await cluster.add_server(name, "s", behaviour=refuse) for name in ("i-1", "i-2")
+    ]
+    await cluster.configure({**ONCE, "maxAttempts": 2})
+    gateway = await cluster.start()
+    assert await gateway.status("/once/x", method="POST", data=b"order") == 502
+    assert sum(len(server.requests) for server in servers) == 1
+
+
 async def spoil_signature(server, request) -> behaviours.Reply:
     """Answer with a control character in the signature."""
     whole = await behaviours.answer(server, request)
