Take no statement of a backend server from spoiled bytes

Callers could see: 'not run' for a request that a backend server ran, after a refusal whose statement holds a control character; and an instance could keep a limit or a pause that no server asked for.

Cause: the presence of the statement was enough, whatever its value held, and float() takes characters such as \x1c around a number, underscores, exponents and digits of other scripts.

--- a/tests/platform/test_response_heads.py
+++ b/tests/platform/test_response_heads.py
@@ -6,10 +6,12 @@
 
 import pytest
 import stand_in_server as behaviours
+from multidict import CIMultiDict, CIMultiDictProxy
 from scripted_server import Script, run_attempts
 
 from fireflyrack.forwarding import AttemptOutcome, Completed, Interrupted
 from fireflyrack.platform import names
+from fireflyrack.platform.backend_client import decode_notice
 
 SAFE = {"prefix": "/safe/", "service": "s"}
 ONCE = {"prefix": "/once/", "service": "s", "kind": "unsafe"}
@@ -140,6 +142,33 @@
     assert sum(len(server.requests) for server in servers) == 1
 
 
+async def test_spoiled_statement_that_nothing_ran_is_no_refusal():
+    """Guards against "not run" for a request that runs, by a header that is none."""
+    statement = names.NOT_RUN.encode() + b": \x11"
+    line = b"HTTP/1.1 503 Service Unavailable"
+    outcome = await outcome_of(response(statement, line=line))
+    assert isinstance(outcome, Interrupted)
+
+
+@pytest.mark.parametrize(
+    "value", ["5\x1c", "\x0b5", "1_0", "\u0663", "1e3", "+5", "-0"]
+)
+@pytest.mark.parametrize("name", [names.RATE_LIMIT, "Retry-After"])
+def test_spoiled_number_states_nothing(name, value):
+    """Guards against a limit or a pause that a backend server did not ask for."""
+    notice = decode_notice(503, CIMultiDictProxy(CIMultiDict({name: value})))
+    assert (notice.rate_limit, notice.closed_for_s) == (None, None)
+    assert [text.partition(":")[0] for text in notice.unreadable] == [name]
+
+
+@pytest.mark.parametrize("value", ["0", "5", "2.5", "0.125", "1800"])
+def test_plain_number_is_decoded(value):
+    """Guards against a check of numbers that rejects sound ones."""
+    headers = {names.RATE_LIMIT: value, "Retry-After": value}
+    notice = decode_notice(503, CIMultiDictProxy(CIMultiDict(headers)))
+    assert notice.rate_limit == notice.closed_for_s == float(value)
+
+
 async def spoil_signature(server, request) -> behaviours.Reply:
     """Answer with a control character in the signature."""
     whole = await behaviours.answer(server, request)
