Repeat a request elsewhere after a success without a signature

Callers saw: 502 for a request that may be repeated and had an attempt left, when a backend server answered 2xx without its signature, for example since a spoiled byte made another header of it.

Cause: each status under 500 counted as an answer that concerns the request itself, which a retry would not change. That holds for 3xx and 4xx only.

Change: a 2xx without a signature is retried like a failure of the server, by the same rules: within the attempts and the budget, and only if the request may run again.

Evidence: the new test of the retry failed before; that a request which may run once is not sent again is tested beside it and held before.

--- a/packages/forwarding/src/fireflyrack/forwarding/decisions.py
+++ b/packages/forwarding/src/fireflyrack/forwarding/decisions.py
@@ -139,8 +139,9 @@
         return tuple(cancel_shard(state, shard, at))
     shard.cause = Cause.SERVER_FAILED
     shard.failure = outcome
-    if state.search is None and outcome.status < 500:
-        # The response concerns the request itself, so a retry would not change it.
+    if state.search is None and 300 <= outcome.status < 500:
+        # The response concerns the request itself, so a retry would not change it. A
+        # success without a signature does not.
         shard.result = outcome
         return tuple(cancel_shard(state, shard, at))
     return retry(state, shard, at, state.route.idempotent)
--- a/packages/forwarding/tests/test_decisions.py
+++ b/packages/forwarding/tests/test_decisions.py
@@ -139,6 +139,24 @@
     assert case.answer == Unknown(Cause.SERVER_FAILED)
 
 
+def test_a_success_without_a_signature_is_retried_if_the_request_may_run_again():
+    """Guards against a failure that another server would have prevented."""
+    case = Case(max_attempts=2)
+    (first,) = case.start()
+    (second,) = case.end(first, Completed(200, (), b"x", ""))
+    assert second.server.id != first.server.id
+    case.end(second, completed("other"), 0.04)
+    assert case.answer.headers == (("x-name", "other"),)
+
+
+def test_a_success_without_a_signature_is_not_retried_if_it_may_run_once():
+    """Guards against a second run of a request whose answer cannot be relayed."""
+    case = Case(idempotent=False)
+    (first,) = case.start()
+    assert case.end(first, Completed(200, (), b"x", "")) == []
+    assert case.answer == Unknown(Cause.SERVER_FAILED)
+
+
 def test_a_not_run_status_of_an_executed_request_is_not_relayed():
     """Guards against a 503 for an executed request that reads as 'not run'."""
     case = Case(max_attempts=1)
