Log headers that are left out of an answer

Callers saw: an answer without a header that its backend server had set, and operators had no line that says so. Such headers hold control characters, which no response to a caller may hold.

Change: they are logged as server_statement_ignored, beside a load that cannot be decoded; both leave the statements of the same response in force. The field of Notice is renamed from unreadable_load to unusable.

--- a/packages/availability/src/fireflyrack/availability/decisions.py
+++ b/packages/availability/src/fireflyrack/availability/decisions.py
@@ -48,7 +48,7 @@
 @decide.register
 def _(event: NoticeReceived, table: AvailabilityTable) -> Decision[AvailabilityTable]:
     server, notice = event.server, event.notice
-    ignored = (*notice.unreadable, *notice.unreadable_load)
+    ignored = (*notice.unreadable, *notice.unusable)
     events = [StatementIgnored(server.id, text) for text in ignored]
     stated = table.find(server) or StatedServer(server.incarnation)
     before = shared_statement(server.id, stated)
--- a/packages/availability/src/fireflyrack/availability/log_events.py
+++ b/packages/availability/src/fireflyrack/availability/log_events.py
@@ -63,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StatementIgnored(LogEvent):
-    """A statement of a backend server could not be decoded."""
+    """A header of a backend server could not be decoded or relayed."""
 
     kind: ClassVar[str] = "server_statement_ignored"
     server: str
--- a/packages/availability/src/fireflyrack/availability/notices.py
+++ b/packages/availability/src/fireflyrack/availability/notices.py
@@ -38,15 +38,16 @@
     leaving: bool = False
     # Statements that could not be decoded, with their values.
     unreadable: tuple[str, ...] = ()
-    # The load if it could not be decoded; it leaves the other statements in force.
-    unreadable_load: tuple[str, ...] = ()
+    # Headers without effect on the statements: the load if it could not be decoded, and
+    # those that cannot be relayed.
+    unusable: tuple[str, ...] = ()
 
     @property
     def states_anything(self) -> bool:
         """Return whether there is a statement beside the load."""
         stated = self.rate_limit is not None or self.closed_for_s is not None
-        unreadable = bool(self.unreadable or self.unreadable_load)
-        return stated or self.leaving or unreadable
+        ignored = bool(self.unreadable or self.unusable)
+        return stated or self.leaving or ignored
 
 
 NO_NOTICE = Notice()
--- a/packages/availability/tests/test_servers.py
+++ b/packages/availability/tests/test_servers.py
@@ -72,10 +72,10 @@
     assert table.find(SERVER).rate_limit.rate_per_s == 8.0
 
 
-def test_an_unreadable_load_leaves_a_rate_limit_in_force():
+def test_an_unusable_leaves_a_rate_limit_in_force():
     """Guards against a limit that one malformed load header lifts or hides."""
     table = make_table()
-    notice = Notice(rate_limit=8.0, unreadable_load=("load: x",))
+    notice = Notice(rate_limit=8.0, unusable=("load: x",))
     ignored, changed = receive(table, notice)
     assert ignored == StatementIgnored("s-1", "load: x")
     assert changed.rate_per_s == 8.0
--- a/tests/platform/test_server_statements.py
+++ b/tests/platform/test_server_statements.py
@@ -156,7 +156,7 @@
 @pytest.mark.parametrize(
     "value", [b"caf\xc3\xa9", b"\xff\xfe", b"\xe2\x82\xac 5", b"a\x01b"]
 )
-async def test_answer_with_an_unusual_header_value_is_passed_on(cluster, value):
+async def test_answer_with_an_unusual_header_value_is_passed_on(cluster, until, value):
     """Guards against a 500 in place of a whole answer with its signature."""
 
     async def answer_with_value(server, request):
@@ -172,5 +172,12 @@
         assert await response.read() == b"whole"
         raw = dict(response.raw_headers)
     passed_on = raw.get(b"x-note")
-    # A control character cannot be passed on, so the header is left out.
+    # A control character cannot be passed on, so the header is left out, with a line.
     assert passed_on == (None if b"\x01" in value else value)
+    expected = ["X-Note: 'a\\x01b'"] if b"\x01" in value else []
+
+    async def logged():
+        ignored = [e for e in gateway.log() if e["event"] == "server_statement_ignored"]
+        return [e["statement"] for e in ignored] == expected
+
+    await until(logged)
