Move the decoding of responses out of the client for backend servers

The checks of a head made the client module a place of two duties. Its decoder moves to backend_responses, unchanged; tests import it from there.

--- a/tests/platform/test_decoder_fuzz.py
+++ b/tests/platform/test_decoder_fuzz.py
@@ -26,7 +26,7 @@
     encode_update,
 )
 from fireflyrack.platform import names
-from fireflyrack.platform.backend_client import decode_notice
+from fireflyrack.platform.backend_responses import decode_notice
 from fireflyrack.platform.caller_app import decode_caller_timeout, decode_request
 from fireflyrack.platform.documents import decode_configuration, decode_server
 from fireflyrack.platform.node_file import read_node_file
--- a/tests/platform/test_response_heads.py
+++ b/tests/platform/test_response_heads.py
@@ -11,7 +11,7 @@
 
 from fireflyrack.forwarding import AttemptOutcome, Completed, Interrupted
 from fireflyrack.platform import names
-from fireflyrack.platform.backend_client import decode_notice
+from fireflyrack.platform.backend_responses import decode_notice
 
 SAFE = {"prefix": "/safe/", "service": "s"}
 ONCE = {"prefix": "/once/", "service": "s", "kind": "unsafe"}
