Bound the bytes that all responses in progress hold together

Cause: a response was bounded at 8 MB, and nothing bounded their sum. Ruled out: a response without any bound.

Change: ReceiveBudget bounds what the responses of one connector hold at 64 MB (max_total_bytes) and ends the largest one; a body that fails is freed at once. The clients of the backend servers that one fireflyrack-entry owns share a budget.

--- a/packages/admission/src/fireflyrack/admission/backend_client.py
+++ b/packages/admission/src/fireflyrack/admission/backend_client.py
@@ -11,7 +11,7 @@
 
 from fireflyrack.configuration import BackendServer
 from fireflyrack.core import Failed, Ok, Outcome
-from fireflyrack.http_client import CheckedConnector, open_session
+from fireflyrack.http_client import CheckedConnector, ReceiveBudget, open_session
 
 from .errors import (
     BackendCallFailed,
@@ -44,7 +44,8 @@
 
     The connection pool never exceeds the backend server's connection limit. Status
     and cancel calls use connections that are reserved for them, see `usable_slots`.
-    `on_draining` is called for each response that carries the draining header.
+    `on_draining` is called for each response that carries the draining header. The
+    clients of one process share a budget for the bytes of their responses.
     """
 
     def __init__(
@@ -53,7 +54,9 @@
         settings: AdmissionSettings,
         may_send: MaySend,
         on_draining: Callable[[], None],
+        budget: ReceiveBudget | None = None,
     ) -> None:
+        self.budget = budget
         self.server = server
         self.settings = settings
         self.may_send = may_send
@@ -68,6 +71,7 @@
         limits = self.settings.response_limits
         connector = CheckedConnector(
             limits,
+            self.budget,
             limit=self.server.connections,
             keepalive_timeout=self.settings.idle_connection_s,
         )
--- a/packages/admission/src/fireflyrack/admission/servers.py
+++ b/packages/admission/src/fireflyrack/admission/servers.py
@@ -12,6 +12,7 @@
 
 from fireflyrack.configuration import BackendServer
 from fireflyrack.core import Failed, Ok, Outcome, StateMachine
+from fireflyrack.http_client import ReceiveBudget
 
 from .backend_client import BackendClient, usable_slots
 from .errors import (
@@ -84,11 +85,12 @@
         self,
         settings: AdmissionSettings,
         may_send: MaySend,
-        open_client: ClientFactory = BackendClient,
+        open_client: ClientFactory | None = None,
     ) -> None:
         self.settings = settings
         self.may_send = may_send
-        self.open_client = open_client
+        budget = ReceiveBudget(settings.response_limits.max_total_bytes)
+        self.open_client = open_client or partial(BackendClient, budget=budget)
         self.loop = asyncio.get_running_loop()
         self.servers: dict[str, OwnedServer] = {}
         self.desired: dict[str, BackendServer] = {}
--- a/packages/http_client/benches/response_cost.py
+++ b/packages/http_client/benches/response_cost.py
@@ -8,7 +8,7 @@
 import asyncio
 import time
 
-from fireflyrack.http_client import ResponseLimits
+from fireflyrack.http_client import ReceiveBudget, ResponseLimits
 from fireflyrack.http_client.handler import CheckedResponseHandler
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -49,9 +49,16 @@
         return False
 
 
+def new_handler() -> CheckedResponseHandler:
+    """Return the handler of a connection with a budget of its own."""
+    limits = ResponseLimits()
+    budget = ReceiveBudget(limits.max_total_bytes)
+    return CheckedResponseHandler(limits, budget, asyncio.get_running_loop())
+
+
 def measure(start: bytes, filler: bytes, size: int) -> float:
     """Return the processor time of one block, in seconds."""
-    handler = CheckedResponseHandler(ResponseLimits(), asyncio.get_running_loop())
+    handler = new_handler()
     handler.connection_made(Connection())
     handler.set_response_params(read_until_eof=True, auto_decompress=False)
     if start:
--- a/packages/http_client/src/fireflyrack/http_client/__init__.py
+++ b/packages/http_client/src/fireflyrack/http_client/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .budget import ReceiveBudget
 from .connector import CheckedConnector
 from .errors import ResponseTooLarge
 from .response import CheckedResponse
@@ -11,6 +12,7 @@
 __all__ = [
     "CheckedConnector",
     "CheckedResponse",
+    "ReceiveBudget",
     "ResponseLimits",
     "ResponseTooLarge",
     "open_session",
--- a/packages/http_client/src/fireflyrack/http_client/connector.py
+++ b/packages/http_client/src/fireflyrack/http_client/connector.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from .budget import ReceiveBudget
 from .handler import CheckedResponseHandler
 from .settings import ResponseLimits
 
@@ -16,12 +17,19 @@
 
     The aiohttp pool does not check for bytes received while a connection was idle;
     they would be taken for the response to the next request.
+    Connectors of one process may share a budget for the bytes of their responses.
     """
 
-    def __init__(self, limits: ResponseLimits, **options: Any) -> None:
+    def __init__(
+        self,
+        limits: ResponseLimits,
+        budget: ReceiveBudget | None = None,
+        **options: Any,
+    ) -> None:
         super().__init__(**options)
+        self.budget = budget or ReceiveBudget(limits.max_total_bytes)
         self._factory = functools.partial(
-            CheckedResponseHandler, limits, loop=self._loop
+            CheckedResponseHandler, limits, self.budget, loop=self._loop
         )
 
     async def _get(
--- a/packages/http_client/src/fireflyrack/http_client/errors.py
+++ b/packages/http_client/src/fireflyrack/http_client/errors.py
@@ -6,4 +6,4 @@
 
 
 class ResponseTooLarge(aiohttp.ClientPayloadError):
-    """The head or the body of a response exceeds its limit."""
+    """A response exceeds its limit, or is the largest of too many bytes."""
--- a/packages/http_client/src/fireflyrack/http_client/handler.py
+++ b/packages/http_client/src/fireflyrack/http_client/handler.py
@@ -9,6 +9,7 @@
 from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
 
+from .budget import ReceiveBudget
 from .errors import ResponseTooLarge
 from .framing import Framing, Head, framing_of_body, may_have_extra_bytes, take
 from .settings import ResponseLimits
@@ -23,9 +24,15 @@
     Bytes after a complete response are dropped and the connection is not used again.
     """
 
-    def __init__(self, limits: ResponseLimits, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        limits: ResponseLimits,
+        budget: ReceiveBudget[CheckedResponseHandler],
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
         super().__init__(loop=loop)
         self.limits = limits
+        self.budget = budget
         self.received_bytes = 0
         self.payload: Any = None
         self.framing: Framing = Head()
@@ -35,8 +42,14 @@
         transport.max_size = MAX_BLOCK_BYTES
         super().connection_made(transport)
 
+    def connection_lost(self, error: BaseException | None) -> None:
+        """End the response in progress."""
+        self.budget.release(self)
+        super().connection_lost(error)
+
     def set_response_params(self, **params: Any) -> None:
         """Expect the response to a new request."""
+        self.budget.release(self)
         self.received_bytes = 0
         self.payload = None
         self.framing = Head()
@@ -81,6 +94,7 @@
             if self.fail_if_invalid() or self.fail_if_too_large():
                 return
             start = end
+        self.enforce_budget()
 
     def fail_if_invalid(self) -> bool:
         """End the body after an error of the parser; return whether there was one.
@@ -102,10 +116,24 @@
             limit += limits.max_body_bytes
         if self.received_bytes <= limit or self.is_complete():
             return False
-        error = ResponseTooLarge(f"response exceeds {limit} bytes")
+        self.fail(ResponseTooLarge(f"response exceeds {limit} bytes"))
+        return True
+
+    def enforce_budget(self) -> None:
+        """End the largest response if those in progress exceed their limit."""
+        if self.is_complete() or self.exception() is not None:
+            self.budget.release(self)
+            return
+        largest = self.budget.record(self, self.received_bytes)
+        if largest is not None:
+            limit = self.budget.max_bytes
+            largest.fail(ResponseTooLarge(f"all responses exceed {limit} bytes"))
+
+    def fail(self, error: ResponseTooLarge) -> None:
+        """End the response with an error and close the connection."""
+        self.budget.release(self)
         self.set_exception(error)
         if self.payload is not None:
             self.payload.set_exception(error)
         if self.transport is not None:
             self.transport.abort()
-        return True
--- a/packages/http_client/src/fireflyrack/http_client/response.py
+++ b/packages/http_client/src/fireflyrack/http_client/response.py
@@ -30,6 +30,25 @@
         await super().start(connection)
         return self
 
+    async def read(self) -> bytes:
+        """Return the body; free what was received of one that fails."""
+        if self._body is None:
+            self._body = await self.read_blocks()
+        return await super().read()
+
+    async def read_blocks(self) -> bytes:
+        """Return all blocks of the body in one piece."""
+        body = bytearray()
+        try:
+            async for block in self.content.iter_any():
+                body += block
+        except BaseException:
+            # The error refers to this frame, until the garbage collector runs.
+            body.clear()
+            self.close()
+            raise
+        return bytes(body)
+
     def is_complete(self) -> bool:
         """Return whether the body was received whole."""
         if "Content-Length" in self.headers or self.is_chunked():
--- a/packages/http_client/src/fireflyrack/http_client/settings.py
+++ b/packages/http_client/src/fireflyrack/http_client/settings.py
@@ -17,3 +17,5 @@
     max_head_bytes: int = Field(default=64 * 1024, gt=0)
     # As received, so with the framing of chunks.
     max_body_bytes: int = Field(default=8 * 1024 * 1024, gt=0)
+    # All responses in progress; above it the largest one is given up.
+    max_total_bytes: int = Field(default=64 * 1024 * 1024, gt=0)
