Serve a request that offers an upgrade with its whole body

Callers saw: an order that offers an upgrade (Java's HTTP client does with its first request to a plain address) ran with an empty body, or its body was read as the next request and ran.

Cause: the parser takes such a request for the last one of its connection and ends it with its head; uvicorn goes on with the same parser. Ruled out: the gateway's own handling of connection headers, since the server alone, with an application that records requests, shows the same.

Change: DecliningHttpProtocol parses the head again without the offer, by a new parser that goes on with the connection. Websockets, which nothing here serves, are switched off.

--- a/packages/gateway/src/fireflyrack/gateway/serving.py
+++ b/packages/gateway/src/fireflyrack/gateway/serving.py
@@ -13,6 +13,7 @@
 from logbook import Logger
 
 from .accepting import AcceptFailed, Acceptor
+from .http_protocol import DecliningHttpProtocol
 
 log = Logger("serving")
 
@@ -141,6 +142,8 @@
         self.addresses = addresses
         config = uvicorn.Config(
             app,
+            http=DecliningHttpProtocol,
+            ws="none",
             log_level="critical",
             access_log=False,
             lifespan="off",
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -45,6 +45,30 @@
     assert seen.headers[names.EXPECTED_SERVER.lower()] == "i-1"
 
 
+@pytest.mark.parametrize(
+    "offer",
+    [
+        {
+            "Connection": "Upgrade, HTTP2-Settings",
+            "Upgrade": "h2c",
+            "HTTP2-Settings": "",
+        },
+        {"Connection": "upgrade", "Upgrade": "websocket"},
+    ],
+)
+async def test_request_that_offers_an_upgrade_is_forwarded_whole(cluster, offer):
+    """Guards against an order that runs with an empty body."""
+    server = await cluster.add_server("i-1", "s")
+    await cluster.configure({**ROUTE, "kind": "unsafe"})
+    gateway = await cluster.start()
+    order = {"method": "POST", "data": b"order", "headers": offer}
+    for number in range(2):
+        assert await gateway.status("/a/x", request_id=f"r{number}", **order) == 200
+    assert [request.body for request in server.requests] == [b"order"] * 2
+    for request in server.requests:
+        assert not {"upgrade", "http2-settings"} & set(request.headers)
+
+
 async def test_search_merges_shards_and_reports_missing_ones(cluster):
     """Guards against a wrong count of missing shards."""
     for number in range(3):
