Ignore an earlier state of an entry from any source

Callers saw: a backend server that says that it leaves got requests again, some four seconds after an instance had passed that on: the store executed a heartbeat of its former incarnation late.

Cause: each write that a watch reports was taken for the newest state. The order of an owner's states (incarnation, number of the write) was asked for listings of a restored store only. Ruled out: that the statement is forgotten by itself; it belongs to its incarnation, and the entry named another one.

--- a/packages/discovery/src/fireflyrack/discovery/entries.py
+++ b/packages/discovery/src/fireflyrack/discovery/entries.py
@@ -4,8 +4,10 @@
 alive, and a store that is restored from a backup lacks the last ones. They stay in use
 until the owners have had time to register again.
 
-A restored store also lists earlier states: a backend server that has since drained is
-ready again, and one that has left is back. Its listings never replace a later state.
+A state that is earlier in the order of its owner never replaces a later one, whichever
+way it comes. The store may execute a write seconds late, and a restored store lists
+earlier states: a backend server that has since drained would be ready again, and one
+that has left would be back.
 """
 
 from __future__ import annotations
@@ -108,7 +110,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryOutdated:
-    """Action: log that a listed state was ignored, since a later one is known."""
+    """Action: log that a state was ignored, since a later one is known."""
 
     key: str
     departed: bool
@@ -134,8 +136,6 @@
     store_unavailable: bool = False
     # Until this time a deleted entry may belong to an owner that is still alive.
     grace_until: float = 0.0
-    # Whether listings may hold earlier states of entries.
-    restored: bool = False
     # Removed entries in the order of their removal.
     departed: dict[str, DepartedEntry] = field(default_factory=dict)
 
@@ -151,11 +151,7 @@
     actions: list[Any] = []
     listed = dict(event.entries)
     for key, value in listed.items():
-        if table.restored and is_outdated(table, key, value):
-            table.missing_until.pop(key, None)
-            actions.append(EntryOutdated(key, key not in table.entries))
-            continue
-        actions += upsert(table, key, value, event.at)
+        actions += apply_state(table, key, value, event.at)
     for key in [key for key in table.entries if key not in listed]:
         actions += mark_missing(table, key, event.at)
     return Decision(table, tuple(actions))
@@ -163,7 +159,7 @@
 
 @decide.register
 def _(event: EntryWritten, table: EntryTable) -> Decision[EntryTable]:
-    return Decision(table, tuple(upsert(table, event.key, event.value, event.at)))
+    return Decision(table, tuple(apply_state(table, event.key, event.value, event.at)))
 
 
 @decide.register
@@ -190,7 +186,6 @@
 
 @decide.register
 def _(event: StoreRestored, table: EntryTable) -> Decision[EntryTable]:
-    table.restored = True
     table.grace_until = event.at + REREGISTRATION_GRACE_S
     for key in table.missing_until:
         table.missing_until[key] = table.grace_until
@@ -209,8 +204,17 @@
     return Decision(table, tuple(actions))
 
 
+def apply_state(table: EntryTable, key: str, value: Any, at: float) -> list[Any]:
+    """Store a state of an entry unless a later one is known."""
+    if not is_outdated(table, key, value):
+        return upsert(table, key, value, at)
+    # The store holds the entry, so it is not missing.
+    table.missing_until.pop(key, None)
+    return [EntryOutdated(key, key not in table.entries)]
+
+
 def is_outdated(table: EntryTable, key: str, value: Any) -> bool:
-    """Return whether a listed value is an earlier state than the one known."""
+    """Return whether a value is an earlier state than the one known."""
     known = table.entries.get(key)
     if known is not None:
         return is_earlier(value, known)
--- a/packages/discovery/src/fireflyrack/discovery/log_events.py
+++ b/packages/discovery/src/fireflyrack/discovery/log_events.py
@@ -52,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryOutdated(LogEvent):
-    """A restored store lists a state of an entry that its owner has since replaced."""
+    """The store holds a state of an entry that its owner has since replaced."""
 
     kind: ClassVar[str] = "entry_outdated"
     key: str
--- a/packages/discovery/src/fireflyrack/discovery/order.py
+++ b/packages/discovery/src/fireflyrack/discovery/order.py
@@ -1,6 +1,7 @@
 """Order of the states that an owner has written of itself under one key.
 
-A store that was restored from a backup lists earlier states again.
+A store that was restored from a backup lists earlier states again, and a write whose
+answer was lost may be executed seconds late.
 """
 
 from __future__ import annotations
