Keep the statements of a newer incarnation after a late response

Callers could see: requests to a backend server that has said that it leaves, after a response to a request that was sent before the server started again.

Cause: the statements of a server are kept by incarnation, and a response took the place of those of any other one, also of a later one.

Change: a notice of an earlier incarnation than the known one changes nothing.

--- a/packages/availability/src/fireflyrack/availability/decisions.py
+++ b/packages/availability/src/fireflyrack/availability/decisions.py
@@ -48,6 +48,10 @@
 @decide.register
 def _(event: NoticeReceived, table: AvailabilityTable) -> Decision[AvailabilityTable]:
     server, notice = event.server, event.notice
+    known = table.servers.get(server.id)
+    if known is not None and known.incarnation > server.incarnation:
+        # The request was sent before the server started again.
+        return Decision(table)
     ignored = (*notice.unreadable, *notice.unusable)
     events = [StatementIgnored(server.id, text) for text in ignored]
     stated = table.find(server) or StatedServer(server.incarnation)
--- a/packages/availability/tests/test_servers.py
+++ b/packages/availability/tests/test_servers.py
@@ -81,6 +81,17 @@
     assert changed.rate_per_s == 8.0
 
 
+def test_late_response_of_an_earlier_incarnation_changes_nothing():
+    """Guards against a leaving server in use again after a late response."""
+    table = make_table()
+    restarted = dataclasses.replace(SERVER, incarnation=SERVER.incarnation + 1)
+    decide(NoticeReceived(1.0, restarted, Notice(leaving=True)), table)
+    assert receive(table, Notice(), 2.0) == ()
+    assert receive(table, Notice(rate_limit=8.0), 3.0) == ()
+    assert table.obstacle(restarted, 4.0) is Obstacle.LEAVING
+    assert table.find(SERVER) is None
+
+
 def test_statements_of_a_removed_server_are_kept_for_its_return_only():
     """Guards against a limit lost with a lapsed entry, and against endless growth."""
     table = make_table(instances=4)
