Do not answer a request in progress with 400 for the bytes after it

Callers could see: a 400 in place of the answer to a request that was read whole and passed on, as soon as unreadable bytes followed it on the connection.

Cause: uvicorn answers an error of the parser with 400 at once, whatever is in progress on the connection.

Change: while a request that was read whole waits for its answer, the connection only ends after that answer. An error in the head or body of the current request is answered with 400 as before.

Evidence: the six cases of test_invalid_bytes_do_not_answer_the_request_before_them failed before; test_invalid_body_is_refused held and holds.

--- a/packages/gateway/src/fireflyrack/gateway/http_protocol.py
+++ b/packages/gateway/src/fireflyrack/gateway/http_protocol.py
@@ -26,16 +26,27 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
-            self.send_400_response("Invalid HTTP request received.")
+            self.refuse("Invalid HTTP request received.")
         except httptools.HttpParserUpgrade as offer:
             if self.parser.get_method() == b"CONNECT":
                 # It asks for a tunnel, which is no request to a backend server.
-                self.send_400_response("Tunnels are not supported.")
+                self.refuse("Tunnels are not supported.")
                 return b""
             (parsed_bytes,) = offer.args
             return self.decline() + data[parsed_bytes:]
         return b""
 
+    def refuse(self, reason: str) -> None:
+        """Answer invalid bytes with 400, or end the connection after the last answer.
+
+        A caller whose request was read whole would take the 400 for its answer.
+        """
+        cycle = self.cycle
+        if cycle is None or cycle.more_body or cycle.response_complete:
+            self.send_400_response(reason)
+        else:
+            cycle.keep_alive = False
+
     def decline(self) -> bytes:
         """Start a new parser; return the head of the request without the offer."""
         line = b"%s %s HTTP/%s" % (
--- a/packages/gateway/tests/test_http_protocol.py
+++ b/packages/gateway/tests/test_http_protocol.py
@@ -28,7 +28,8 @@
 class RecordingApp:
     """Application that records requests and answers each with its number."""
 
-    def __init__(self):
+    def __init__(self, delay_s=0.0):
+        self.delay_s = delay_s
         self.requests = []
 
     async def __call__(self, scope, receive, send):
@@ -40,6 +41,7 @@
             body += message.get("body", b"")
             if not message.get("more_body"):
                 break
+        await asyncio.sleep(self.delay_s)
         self.requests.append((scope["method"], scope["path"], body))
         answer = b"%d" % len(self.requests)
         headers = [(b"content-length", b"%d" % len(answer))]
@@ -69,12 +71,12 @@
     return b"\r\n".join((line, b"Host: h", *headers, b"", b""))
 
 
-async def exchange(expected, *segments):
+async def exchange(expected, *segments, app=None):
     """Send segments over one connection; return the requests served and the answers.
 
     It ends once the expected number of answers came, and whatever follows at once.
     """
-    app = RecordingApp()
+    app = app or RecordingApp()
     server = HttpServer(app, free_address())
     server.bind()
     async with server:
@@ -111,6 +113,29 @@
     assert answer.count(b"HTTP/1.1 200 OK") == 2
 
 
+@pytest.mark.parametrize("garbage", [b"\x00\x01", b"GET\r\n\r\n", b"{}\r\n\r\n"])
+@pytest.mark.parametrize("apart", [False, True])
+async def test_invalid_bytes_do_not_answer_the_request_before_them(garbage, apart):
+    """Guards against a 400 that a caller takes for the answer to its request."""
+    request = by_length(b"/order", b"whole")
+    segments = (request, garbage) if apart else (request + garbage,)
+    app = RecordingApp(delay_s=0.05)
+    requests, answers = await exchange(1, *segments, app=app)
+    assert requests == [("POST", "/order", b"whole")]
+    assert answers.startswith(b"HTTP/1.1 200 OK")
+    # What is in the place of the next request is not answered as if it were one.
+    assert answers.count(b"HTTP/1.1") == 1
+    assert b"connection: close" in answers
+
+
+async def test_invalid_body_is_refused():
+    """Guards against a request that waits for a body that cannot be completed."""
+    head = encode(b"POST", b"/order", b"Transfer-Encoding: chunked")
+    requests, answers = await exchange(1, head + b"4\r\nbodyx\r\n")
+    assert requests == []
+    assert answers.startswith(b"HTTP/1.1 400")
+
+
 async def test_tunnel_is_refused():
     """Guards against bytes of a tunnel that are read as requests."""
     tunnel = encode(b"CONNECT", b"h:1") + SMUGGLED
