Drop the trailers of a chunked request

Callers could see: a request that was passed on under another id, if a trailer of its body has the name of the id.

Cause: the parser reports trailers as headers, and uvicorn adds them to the list that the application reads after the body.

Change: headers after the end of the head are dropped. They are not forwarded: no backend server asks for them, and no sound caller sends them.

Evidence: test_trailers_are_no_headers failed before.

--- a/packages/gateway/src/fireflyrack/gateway/http_protocol.py
+++ b/packages/gateway/src/fireflyrack/gateway/http_protocol.py
@@ -11,9 +11,12 @@
 
     The parser ends such a request with its head, and takes its body for the next
     request. So the head is parsed again without the offer, by a new parser that goes on
-    with the connection.
+    with the connection. Trailers are read and dropped.
     """
 
+    # Whether the head of the current request was parsed.
+    head_complete = False
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; refuse invalid ones and close the connection."""
         self._unset_keepalive_if_required()
@@ -58,8 +61,19 @@
         self.parser = httptools.HttpRequestParser(self)
         return b"\r\n".join((line, *headers, b"", b""))
 
+    def on_message_begin(self) -> None:
+        """Start a head."""
+        self.head_complete = False
+        super().on_message_begin()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header; a trailer comes after the head."""
+        if not self.head_complete:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         """Start a request unless its head is to be parsed again."""
+        self.head_complete = True
         if not self.parser.should_upgrade():
             super().on_headers_complete()
 
--- a/packages/gateway/tests/test_http_protocol.py
+++ b/packages/gateway/tests/test_http_protocol.py
@@ -31,6 +31,7 @@
     def __init__(self, delay_s=0.0):
         self.delay_s = delay_s
         self.requests = []
+        self.headers = []
 
     async def __call__(self, scope, receive, send):
         body = b""
@@ -42,6 +43,7 @@
             if not message.get("more_body"):
                 break
         await asyncio.sleep(self.delay_s)
+        self.headers = scope["headers"]
         self.requests.append((scope["method"], scope["path"], body))
         answer = b"%d" % len(self.requests)
         headers = [(b"content-length", b"%d" % len(answer))]
@@ -113,6 +115,17 @@
     assert answer.count(b"HTTP/1.1 200 OK") == 2
 
 
+async def test_trailers_are_no_headers():
+    """Guards against a request id that a trailer replaces after the head."""
+    data = in_chunks(b"/order", b"whole", b"X-Id: head")
+    trailers = b"X-Id: trailer\r\nX-Other: trailer\r\n"
+    app = RecordingApp()
+    await exchange(1, data[:-2] + trailers + b"\r\n", app=app)
+    assert app.requests == [("POST", "/order", b"whole")]
+    assert dict(app.headers)[b"x-id"] == b"head"
+    assert b"x-other" not in dict(app.headers)
+
+
 @pytest.mark.parametrize("garbage", [b"\x00\x01", b"GET\r\n\r\n", b"{}\r\n\r\n"])
 @pytest.mark.parametrize("apart", [False, True])
 async def test_invalid_bytes_do_not_answer_the_request_before_them(garbage, apart):
