Compare registers with each neighbour that is new to an instance

Cause: a report is announced once, to the neighbours that its owner knows then. A starting instance compared all registers with one neighbour, at once, and then each 30 s. If that neighbour held nothing yet, or one message was lost, the instance lacked the reports until the next comparison. Ruled out: the owner that does not publish an equal report again; a comparison repairs that, too.

Change: an instance compares with each new neighbour, and with one whose link opens, at its next timer, then with random ones at a period that grows from 1 to 30 s. The error of a site that is not ready shows the last answers.

--- a/packages/dissemination/src/fireflyrack/dissemination/disseminator.py
+++ b/packages/dissemination/src/fireflyrack/dissemination/disseminator.py
@@ -15,6 +15,7 @@
     ComparisonTimerFired,
     Deliver,
     DigestReceived,
+    LinkOpened,
     NamesReceived,
     PeersChanged,
     Published,
@@ -66,9 +67,11 @@
         self.links = links
         self.loop = asyncio.get_running_loop()
         self.addresses: Mapping[str, str] = {}
+        self.peers_by_address: dict[str, str] = {}
         # Link addresses of peers that sent messages and are not in `addresses`.
         self.unlisted_addresses: dict[str, str] = {}
         self.subscribers: dict[str, list[Subscriber]] = {}
+        links.open_listeners.append(self.handle_link_opened)
         rng = random.Random(secrets.randbits(64))
         self.machine = StateMachine(
             GossipState(own, settings, rng), decide, self.perform
@@ -114,8 +117,14 @@
     def set_peers(self, addresses: Mapping[str, str]) -> None:
         """Set the link addresses of the peers, by instance."""
         self.addresses = dict(addresses)
+        self.peers_by_address = {a: peer for peer, a in addresses.items()}
         self.machine.feed(PeersChanged(self.loop.time(), tuple(addresses)))
 
+    def handle_link_opened(self, address: str) -> None:
+        """Feed the opening of the link to a peer."""
+        if peer := self.peers_by_address.get(address):
+            self.machine.feed(LinkOpened(self.loop.time(), peer))
+
     async def run_gossip_loops(self) -> None:
         """Run the announcement and comparison timers until cancelled."""
         async with asyncio.TaskGroup() as group:
--- a/packages/dissemination/src/fireflyrack/dissemination/gossip.py
+++ b/packages/dissemination/src/fireflyrack/dissemination/gossip.py
@@ -116,6 +116,14 @@
     peers: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class LinkOpened:
+    """The link to a peer opened; messages may have been lost before."""
+
+    at: float
+    peer: str
+
+
 @dataclass(frozen=True, slots=True)
 class SendRegisters:
     """Send registers with their ages in seconds to peers."""
@@ -267,20 +275,13 @@
     }
     if not state.neighbours:
         return Decision(state)
-    due = state.compared_at is None or (
-        event.at - state.compared_at >= state.settings.digest_period_s
-    )
-    actions: tuple[object, ...] = ()
-    buckets: tuple[int, ...] = ()
-    if due:
-        first = state.compared_at is None
-        # Jitter spreads the comparisons of instances that started together.
-        jitter = state.rng.uniform(0, 0.5) * state.settings.digest_period_s
-        state.compared_at = event.at - (0 if first else jitter)
-        actions = expire_and_renew(state, event.at)
-        buckets = tuple(state.digest)
+    if (
+        state.compared_at is None
+        or event.at - state.compared_at >= state.comparison_delay_s
+    ):
+        return compare_all(state, event.at)
     peer = state.rng.choice(state.neighbours)
-    return Decision(state, (*actions, SendDigest(peer, state.urgent_digest, buckets)))
+    return Decision(state, (SendDigest(peer, state.urgent_digest, ()),))
 
 
 @decide.register
@@ -310,7 +311,15 @@
     others = [peer for peer in event.peers if peer != state.own]
     # Rendezvous hashing with the own name gives each instance different neighbours
     # and keeps most of them when an instance joins or leaves.
-    state.neighbours = rank(state.own, others)[: state.settings.neighbours]
+    previous, state.neighbours = (
+        state.neighbours,
+        rank(state.own, others)[: state.settings.neighbours],
+    )
+    state.uncompared = {p: None for p in state.uncompared if p in state.neighbours}
+    # What was announced before one of the two knew the other has to be compared.
+    for peer in state.neighbours:
+        if peer not in previous:
+            compare_soon(state, peer)
     if state.compared_at is None and state.neighbours:
         # A starting instance has no registers, and cannot search without the status
         # reports of backend servers in them.
@@ -318,6 +327,41 @@
     return Decision(state)
 
 
+@decide.register
+def _(event: LinkOpened, state: GossipState) -> Decision[GossipState]:
+    if event.peer in state.neighbours:
+        compare_soon(state, event.peer)
+    return Decision(state)
+
+
+def compare_soon(state: GossipState, peer: str) -> None:
+    """Compare with a neighbour at the next timer, and more often for some time.
+
+    A message of the comparison may be lost, and the neighbour may lack registers that
+    it gets later.
+    """
+    state.uncompared[peer] = None
+    state.comparison_delay_s = 0.0
+
+
+def compare_all(state: GossipState, at: float) -> Decision[GossipState]:
+    """Compare all registers with a neighbour; set the time to the next comparison."""
+    settings = state.settings
+    if state.uncompared:
+        peer = next(iter(state.uncompared))
+        del state.uncompared[peer]
+    else:
+        peer = state.rng.choice(state.neighbours)
+        grown_s = max(2 * state.comparison_delay_s, settings.urgent_period_s)
+        state.comparison_delay_s = min(grown_s, settings.digest_period_s)
+    # Jitter spreads the comparisons of instances that started together.
+    jitter_s = state.rng.uniform(0, 0.5) * state.comparison_delay_s
+    state.compared_at = at - jitter_s
+    actions = expire_and_renew(state, at)
+    digest = SendDigest(peer, state.urgent_digest, tuple(state.digest))
+    return Decision(state, (*actions, digest))
+
+
 def disseminate(
     state: GossipState,
     accepted: Iterable[StoredRegister],
--- a/packages/dissemination/src/fireflyrack/dissemination/registers.py
+++ b/packages/dissemination/src/fireflyrack/dissemination/registers.py
@@ -94,6 +94,11 @@
     # Registers that this instance published last and renews.
     renewed_names: set[RegisterName] = field(default_factory=set)
     compared_at: float | None = None
+    # Time until the next comparison of all registers, in seconds. It is short after a
+    # change of the neighbours or of a link, and grows to `digest_period_s`.
+    comparison_delay_s: float = 0.0
+    # Neighbours to compare with before any other, oldest first.
+    uncompared: dict[str, None] = field(default_factory=dict)
 
     def get(self, topic: str, key: str) -> Register | None:
         """Return the stored register of a topic and key, or None."""
--- a/packages/dissemination/tests/test_gossip.py
+++ b/packages/dissemination/tests/test_gossip.py
@@ -2,95 +2,21 @@
 
 from __future__ import annotations
 
-import random
-
 import pytest
+from gossip_fleet import SETTINGS, SimulatedFleet
 
 from fireflyrack.dissemination import (
-    ComparisonTimerFired,
-    Deliver,
     DigestReceived,
-    DisseminationSettings,
-    GossipState,
     InvalidSpreadMessage,
-    NamesReceived,
-    PeersChanged,
-    Published,
     Register,
     RegistersReceived,
-    RequestReceived,
-    RoundTimerFired,
-    SendDigest,
-    SendNames,
-    SendRegisters,
-    SendRequest,
     Withdrawn,
     decide,
     decode_digest,
     decode_names,
     decode_registers,
-    encode_digest,
-    encode_names,
-    encode_registers,
 )
 
-SETTINGS = DisseminationSettings()
-
-
-class SimulatedFleet:
-    """Run many instances in virtual time; `loss` is the probability of message loss."""
-
-    def __init__(self, size, seed, loss=0.0):
-        self.rng = random.Random(seed)
-        self.loss = loss
-        self.now = 0.0
-        names = tuple(f"e{n}" for n in range(size))
-        self.states = {
-            name: GossipState(name, SETTINGS, random.Random(name)) for name in names
-        }
-        for state in self.states.values():
-            decide(PeersChanged(0.0, names), state)
-
-    def publish(self, name, topic, key, body, version=None, **options):
-        self.feed(name, Published(self.now, topic, key, body, version, **options))
-
-    def feed(self, name, event):
-        queue = [(name, event)]
-        while queue:
-            target, event = queue.pop(0)
-            for action in decide(event, self.states[target]).actions:
-                queue.extend(self.messages(target, action))
-
-    def messages(self, sender, action):
-        match action:
-            case Deliver():
-                found = []
-            case SendRegisters(peers, registers):
-                received = decode_registers(encode_registers(registers))
-                event = RegistersReceived(self.now, sender, received)
-                found = [(peer, event) for peer in peers]
-            case SendNames(peers, names, buckets):
-                received = decode_names(encode_names(names, buckets))
-                event = NamesReceived(self.now, sender, *received)
-                found = [(peer, event) for peer in peers]
-            case SendRequest(peer, names):
-                found = [(peer, RequestReceived(self.now, sender, names))]
-            case SendDigest(peer, urgent, buckets):
-                received = decode_digest(encode_digest(urgent, buckets))
-                found = [(peer, DigestReceived(self.now, sender, *received))]
-        return [m for m in found if self.rng.random() >= self.loss]
-
-    def advance(self, seconds):
-        for _ in range(int(seconds)):
-            self.now += 1.0
-            for name in self.states:
-                self.feed(name, RoundTimerFired(self.now))
-                self.feed(name, ComparisonTimerFired(self.now))
-
-    def holders(self, register):
-        states = self.states.values()
-        return sum(s.get(register.topic, register.key) == register for s in states)
-
 
 @pytest.mark.parametrize("size", [2, 4, 100])
 @pytest.mark.parametrize("urgent", [False, True])
--- a/packages/entry/src/fireflyrack/entry/instance.py
+++ b/packages/entry/src/fireflyrack/entry/instance.py
@@ -21,6 +21,7 @@
 from .fleet import MembershipRunner
 from .metrics import Metrics
 from .owning import OwnershipReconciler
+from .readiness import missing_reports
 from .replica import ConfigurationReplica
 from .request_runs import AdmissionRunner
 from .requests import RequestService
@@ -178,11 +179,16 @@
         return server.failure_domain if server else None
 
     def is_ready(self) -> bool:
-        """Return whether searches of all services can be answered."""
+        """Return whether searches of all services can be answered whole."""
         services = self.configuration.services.values()
-        return self.replica.machine.state.confirmed and all(
-            self.reports.snapshot_for(service) for service in services
-        )
+        if not self.replica.machine.state.confirmed or self.missing_reports():
+            return False
+        return all(self.reports.snapshot_for(service) for service in services)
+
+    def missing_reports(self) -> tuple[str, ...]:
+        """Return the backend servers whose owners have not reported them here."""
+        services = self.configuration.services.values()
+        return missing_reports(services, self.reports, self.ownership.owner)
 
     def handle_membership_change(self) -> None:
         """Pass a change of members or owners on to the other slices."""
--- a/packages/links/src/fireflyrack/links/pool.py
+++ b/packages/links/src/fireflyrack/links/pool.py
@@ -65,7 +65,8 @@
     """Send messages to peers over one long-lived stream per peer.
 
     Call `request` or `notify` with a peer's address. The stream is opened on first
-    use and reopened after a failure. Call `close` to close all streams.
+    use and reopened after a failure. All `open_listeners` are called with the address
+    of each link that opens. Call `close` to close all streams.
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         self.instance = instance
         self.address = address
         self.links: dict[str, Link] = {}
+        self.open_listeners: list[Callable[[str], None]] = []
         self.correlation_ids = SequenceGenerator()
 
     async def request(
@@ -157,6 +159,8 @@
                 bound_frames(stream, self.settings.max_message_bytes)
                 link.connected = True
                 log.info("link to {} is open", link.address)
+                for listener in self.open_listeners:
+                    listener(link.address)
                 writer = asyncio.create_task(self.write_frames(link, stream))
                 try:
                     async for frame in stream:
--- a/packages/testbed/src/fireflyrack/testbed/site.py
+++ b/packages/testbed/src/fireflyrack/testbed/site.py
@@ -24,6 +24,7 @@
 STOP_TIMEOUT_S = 60.0
 # Part of a log that an error shows.
 LOG_TAIL_CHARS = 4000
+MAX_SHOWN_ANSWER_CHARS = 1000
 POLL_INTERVAL_S = 0.05
 # Shorter than the 5 s after which entry instances close idle connections.
 KEEPALIVE_TIMEOUT_S = 3.0
@@ -107,6 +108,8 @@
     def __init__(self, layout: SiteLayout) -> None:
         self.layout = layout
         self.processes: dict[str, SiteProcess] = {}
+        # Last answer of each entry instance to `wait_ready`, for its error.
+        self.last_answers: dict[str, str] = {}
         self.folder = tempfile.TemporaryDirectory(prefix="fireflyrack-")
         self.session: aiohttp.ClientSession | None = None
 
@@ -347,7 +350,8 @@
     async def wait_ready(self, timeout_s: float = 30.0) -> None:
         """Wait until each entry instance covers all shards of each service.
 
-        Raises TimeoutError with the ends of the logs of the entry instances.
+        Raises TimeoutError with the last answers and the ends of the logs of the entry
+        instances.
         """
         entries = [n for n in self.processes if n[0] == "e"]
         try:
@@ -359,7 +363,8 @@
                             await asyncio.sleep(POLL_INTERVAL_S)
         except TimeoutError:
             ends = "\n".join(
-                f"{n}: {self.processes[n].log.read_text()[-LOG_TAIL_CHARS:]}"
+                f"{n}: last answer {self.last_answers.get(n, 'none')}\n"
+                f"{self.processes[n].log.read_text()[-LOG_TAIL_CHARS:]}"
                 for n in entries
             )
             raise TimeoutError(f"not ready after {timeout_s} s\n{ends}") from None
@@ -367,4 +372,5 @@
     async def searches_all(self, name: str, path: str) -> bool:
         """Return whether a search at an entry instance covers all shards."""
         status, answer = await self.post(name, path, {"query": "test"})
+        self.last_answers[name] = f"{status} {answer}"[:MAX_SHOWN_ANSWER_CHARS]
         return status == 200 and answer["coverage"]["share"] == 1
--- a/packages/testbed/src/fireflyrack/testbed/spread_bench.py
+++ b/packages/testbed/src/fireflyrack/testbed/spread_bench.py
@@ -68,6 +68,8 @@
     seconds: float
     rng: random.Random
     settings: DisseminationSettings
+    # Instances that join one after the other in the measured time.
+    joiners: int = 0
     now: float = 0.0
     queue: list[Any] = field(default_factory=list)
     call_numbers: Any = field(default_factory=itertools.count)
@@ -82,15 +84,10 @@
 
     def run(self) -> None:
         """Run the fleet, publish a new head half-way and print the results."""
-        settings = self.settings
         names = tuple(f"e{n}" for n in range(self.size))
         for name in names:
-            state = GossipState(name, settings, random.Random(name))
-            self.states[name] = state
-            self.usage[name] = Usage()
-            decide(PeersChanged(0.0, names), state)
-            self.feed_periodically(name, settings.round_s, RoundTimerFired)
-            self.feed_periodically(name, settings.urgent_period_s, ComparisonTimerFired)
+            self.start(name)
+            decide(PeersChanged(0.0, names), self.states[name])
         for number in range(self.servers):
             owner = names[number % self.size]
             self.schedule(self.rng.uniform(0, 60), self.report, owner, number)
@@ -102,9 +99,26 @@
         self.sent.clear()
         self.sizes.clear()
         self.schedule(self.seconds / 2, self.change_head, names[0])
+        for number in range(self.joiners):
+            delay_s = number * self.seconds / self.joiners
+            self.schedule(delay_s, self.join, f"e{self.size + number}")
         self.run_for(self.seconds)
         self.print_figures()
 
+    def start(self, name: str) -> None:
+        """Create an instance that knows no peers, and its timers."""
+        settings = self.settings
+        self.states[name] = GossipState(name, settings, random.Random(name))
+        self.usage[name] = Usage()
+        self.feed_periodically(name, settings.round_s, RoundTimerFired)
+        self.feed_periodically(name, settings.urgent_period_s, ComparisonTimerFired)
+
+    def join(self, name: str) -> None:
+        """Start an instance that all others know from then on."""
+        self.start(name)
+        for known in tuple(self.states):
+            self.feed(known, PeersChanged(self.now, tuple(self.states)))
+
     def schedule(self, delay_s: float, call: Any, *arguments: Any) -> None:
         """Schedule a call after a delay in simulated seconds."""
         entry = (self.now + delay_s, next(self.call_numbers), call, arguments)
@@ -212,9 +226,12 @@
 
     def print_figures(self) -> None:
         """Print propagation times and costs per instance."""
-        live = self.size - len(self.failed)
+        live = self.size + self.joiners - len(self.failed)
         usage = [u for n, u in self.usage.items() if n not in self.failed]
-        print(f"{self.size} instances ({live} live), {self.servers} backend servers")
+        print(
+            f"{self.size} instances ({live} live, {self.joiners} joined), "
+            f"{self.servers} backend servers"
+        )
         for title, register in (("head", HEAD_REGISTER), ("report", PROBE_REGISTER)):
             times = sorted(self.propagation_times[register])
             for fraction in (0.5, 0.999, 1.0):
@@ -245,6 +262,7 @@
         "--servers", type=int, help="backend servers (default: by size)"
     )
     parser.add_argument("--failed", type=float, default=0.05)
+    parser.add_argument("--joiners", type=int, default=0, help="instances that join")
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--round", type=float, default=1.0, help="round_s")
     parser.add_argument("--seed", type=int, default=1)
@@ -258,7 +276,13 @@
         rng = random.Random(options.seed)
         settings = DisseminationSettings(round_s=options.round)
         DisseminationBenchmark(
-            size, servers, options.failed, options.seconds, rng, settings
+            size,
+            servers,
+            options.failed,
+            options.seconds,
+            rng,
+            settings,
+            options.joiners,
         ).run()
 
 
