--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -45,6 +45,21 @@
     assert seen.headers[names.EXPECTED_SERVER.lower()] == "i-1"
 
 
+async def test_expectation_of_a_caller_is_not_forwarded(cluster):
+    """Guards against a body that waits for an interim response until the deadline.
+
+    The body was read whole before, and the stand-in sends no interim response.
+    """
+    server = await cluster.add_server("i-1", "s")
+    await cluster.configure(ROUTE)
+    gateway = await cluster.start()
+    order = {"method": "POST", "data": b"order", "expect100": True}
+    assert await gateway.status("/a/x", **order) == 200
+    (seen,) = server.requests
+    assert seen.body == b"order"
+    assert "expect" not in seen.headers
+
+
 @pytest.mark.parametrize(
     "offer",
     [
