Play spoiled heads and endless bodies in the soak

The soak's backend servers now also spoil a byte of the signature, answer with status 000 or 600 beside the statement that nothing ran, and send bodies without end; a check finds answers to callers whose status ends no request, with an injected bug for each kind.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -57,6 +57,15 @@
     return counted and covered and distinct and body == result.body
 
 
+def statuses_end_requests(records: Records) -> list[str]:
+    """Return answers with a status that ends no request."""
+    return [
+        f"invalid status: {result}"
+        for result in records.results
+        if not result.detail and not 200 <= result.status < 600
+    ]
+
+
 def executions_match_requests(records: Records) -> list[str]:
     """Return executions of requests not sent, and repeated unsafe executions."""
     found = [
@@ -223,6 +232,7 @@
 CHECKS = (
     processes_have_no_faults,
     responses_match_requests,
+    statuses_end_requests,
     executions_match_requests,
     refused_requests_are_not_executed,
     versions_never_regress,
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -23,6 +23,10 @@
     "closing",
     "limited",
     "blank lines",
+    "endless body",
+    "spoiled signature",
+    "status zero",
+    "status high",
 )
 SERVER_FAULTS = (
     Fault.RESET,
--- a/tests/soak/soak_cluster.py
+++ b/tests/soak/soak_cluster.py
@@ -61,6 +61,11 @@
     "unsafe": ("POST", "/u/"),
     "version": ("GET", "/v/"),
 }
+# Status lines that end no request.
+INVALID_STATUSES = {
+    "status zero": b"HTTP/1.1 000 Zero",
+    "status high": b"HTTP/1.1 600 High",
+}
 # A draining server keeps serving for this long after the store acknowledged it.
 DRAIN_S = checks.DRAIN_BOUND_S + 2.0
 
@@ -417,4 +422,13 @@
         return Reply(whole[:head_end], endless=b"X-More: y\r\n" * 100)
     if kind == "blank lines":
         return Reply(b"HTTP/1.1 200 OK\r\n\r\n", endless=b"\r\n" * 32768)
+    if kind == "endless body":
+        return Reply(b"HTTP/1.1 200 OK\r\n\r\n", endless=b"b" * 65536)
+    if kind == "spoiled signature":
+        field = f"{names.SIGNATURE}: ".encode()
+        return Reply(whole.replace(field, field + b"\x13", 1))
+    if kind in INVALID_STATUSES:
+        # The request ran; what a response with such a status states is not true.
+        line = INVALID_STATUSES[kind] + f"\r\n{names.NOT_RUN}: 1".encode()
+        return Reply(whole.replace(b"HTTP/1.1 200 OK", line, 1))
     return Reply(whole)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -116,6 +116,14 @@
     records.results.append(dataclasses.replace(whole, body=body))
 
 
+def status_zero(records: Records) -> None:
+    records.results.append(plain_result(status=0))
+
+
+def status_high(records: Records) -> None:
+    records.results.append(plain_result(status=600))
+
+
 def unsent_request(records: Records) -> None:
     records.runs.append(run("r77"))
 
@@ -184,6 +192,8 @@
         (duplicate_shard, checks.responses_match_requests),
         (below_coverage, checks.responses_match_requests),
         (wrong_order, checks.responses_match_requests),
+        (status_zero, checks.statuses_end_requests),
+        (status_high, checks.statuses_end_requests),
         (unsent_request, checks.executions_match_requests),
         (changed_target, checks.executions_match_requests),
         (run_twice, checks.executions_match_requests),
