--- a/packages/dissemination/src/fireflyrack/dissemination/gossip.py
+++ b/packages/dissemination/src/fireflyrack/dissemination/gossip.py
@@ -311,10 +311,8 @@
     others = [peer for peer in event.peers if peer != state.own]
     # Rendezvous hashing with the own name gives each instance different neighbours
     # and keeps most of them when an instance joins or leaves.
-    previous, state.neighbours = (
-        state.neighbours,
-        rank(state.own, others)[: state.settings.neighbours],
-    )
+    previous = state.neighbours
+    state.neighbours = rank(state.own, others)[: state.settings.neighbours]
     state.uncompared = {p: None for p in state.uncompared if p in state.neighbours}
     # What was announced before one of the two knew the other has to be compared.
     for peer in state.neighbours:
